--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,217 @@
+@0xb3f1c6a0d5e24917;
+
+# Protocol between the instances of almondroad.
+
+struct Member {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  peerAddress @2 :Text;
+  httpAddress @3 :Text;
+  zone @4 :Text;
+  region @5 :Text;
+  leaving @6 :Bool;
+  # Grows with each heartbeat that the member itself sends; the higher counter is the newer state.
+  heartbeatCounter @7 :UInt64;
+  # Share of the member's request slots in use.
+  loadPermille @8 :UInt32;
+}
+
+struct Holding {
+  shard @0 :Text;
+  holder @1 :Text;
+  incarnation @2 :UInt64;
+  fencing @3 :UInt64;
+}
+
+# What the sender knows of the configuration and of the store.
+struct Confirmation {
+  version @0 :UInt64;
+  # Whether the sender read the head row in the last second.
+  hasStore @1 :Bool;
+  # Time since the sender last confirmed that no newer version exists.
+  confirmedAgeMs @2 :UInt64;
+}
+
+struct Heartbeat {
+  sender @0 :Member;
+  # Recent member changes, at most 32.
+  members @1 :List(Member);
+  # Shard holders that changed recently, at most 32.
+  holdings @2 :List(Holding);
+  confirmation @3 :Confirmation;
+  suspects @4 :List(Suspect);
+}
+
+# A request that ran on an endpoint when the endpoint died.
+struct Suspect {
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt32;
+  remainingMs @2 :UInt64;
+}
+
+struct LeaseClaim {
+  holding @0 :Holding;
+  # Incarnation under which the witness is named in the lease row.
+  witnessIncarnation @1 :UInt64;
+}
+
+struct Refund {
+  # Owner's time of the grant that the tokens came from.
+  grantedAtMs @0 :UInt64;
+  tokens @1 :UInt64;
+}
+
+struct DrawRequest {
+  organisation @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  # Tokens that waiting requests need now.
+  needTokens @3 :UInt64;
+  # Tokens wanted on top for the next requests.
+  wantTokens @4 :UInt64;
+  # Spent since the last acknowledged draw, from live grants.
+  spentTokens @5 :UInt64;
+  # Unspent tokens given back from live grants.
+  returnedTokens @6 :UInt64;
+  refunds @7 :List(Refund);
+  # Number of this draw; a repeated number repeats the answer.
+  sequence @8 :UInt64;
+}
+
+struct DrawAnswer {
+  union {
+    granted :group {
+      tokens @0 :UInt64;
+      grantedAtMs @1 :UInt64;
+      # Time to live, counted by the receiver from the moment it sent the draw.
+      timeToLiveMs @2 :UInt64;
+      # When more tokens are expected, if fewer were granted than needed.
+      retryAfterMs @3 :UInt64;
+    }
+    notHolder @4 :Holding;
+    unknownOrganisation @5 :Void;
+  }
+}
+
+struct Admission {
+  attempt @0 :Text;
+  organisation @1 :Text;
+  shard @2 :Text;
+  promptTokens @3 :UInt64;
+  maxOutputTokens @4 :UInt64;
+  # Hashes of the prompt's prefixes, longest last, salted with the organisation.
+  prefixHashes @5 :List(UInt64);
+  waiting @6 :Bool;
+  # Remaining time of the caller's deadline and of the queue.
+  remainingMs @7 :UInt64;
+  queueMs @8 :UInt64;
+  fingerprint @9 :UInt64;
+  suspect @10 :Bool;
+  # Endpoints that failed this request already.
+  avoid @11 :List(Text);
+  zone @12 :Text;
+}
+
+struct Plan {
+  prefill @0 :Text;
+  prefillAddress @1 :Text;
+  decode @2 :Text;
+  decodeAddress @3 :Text;
+  # Wait before the prefill starts, so that its result meets a free decode slot and link.
+  startAfterMs @4 :UInt64;
+  transferLimitMs @5 :UInt64;
+  fencing @6 :UInt64;
+  freeSlots @7 :UInt32;
+}
+
+struct AdmitAnswer {
+  union {
+    plan @0 :Plan;
+    full :group {
+      retryAfterMs @1 :UInt64;
+      freeSlots @2 :UInt32;
+    }
+    notHolder @3 :Holding;
+    noEndpoint @4 :Void;
+  }
+}
+
+enum AttemptEnd {
+  completed @0;
+  cancelled @1;
+  failed @2;
+  # The endpoint's process died under the attempt.
+  endpointDied @3;
+  # The prefill result was lost before the decode endpoint had it.
+  prefillWasted @4;
+}
+
+struct FinishedAttempt {
+  attempt @0 :Text;
+  end @1 :AttemptEnd;
+  # Endpoint that failed, empty if none.
+  endpoint @2 :Text;
+  outputTokens @3 :UInt64;
+  firstTokenMs @4 :UInt64;
+  decodeMs @5 :UInt64;
+}
+
+struct Progress {
+  attempt @0 :Text;
+  outputTokens @1 :UInt64;
+  organisation @2 :Text;
+  prefill @3 :Text;
+  decode @4 :Text;
+  pieces @5 :UInt64;
+  remainingMs @6 :UInt64;
+}
+
+# A configuration change: one splice in the document's text.
+struct Change {
+  version @0 :UInt64;
+  section @1 :Text;
+  offsetBytes @2 :UInt64;
+  removedBytes @3 :UInt64;
+  inserted @4 :Text;
+  # Hash of the whole document after the change.
+  contentHash @5 :Text;
+}
+
+struct ClaimAnswer {
+  union {
+    claimed @0 :Void;
+    # Another live attempt answers or has answered this request.
+    held :group {
+      attempt @1 :Text;
+      completed @2 :Bool;
+    }
+    notHolder @3 :Holding;
+  }
+}
+
+interface Peer {
+  heartbeat @0 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
+  holders @1 (shards :List(Text)) -> (holdings :List(Holding));
+
+  extendLease @2 (claim :LeaseClaim) -> (granted :Bool);
+  consentTakeover @3 (claim :LeaseClaim) -> (granted :Bool);
+  # The previous holder's state, sent before it writes the successor into the lease row.
+  handOver @4 (shard :Text, state :Data) -> (accepted :Bool);
+
+  draw @5 (request :DrawRequest) -> (answer :DrawAnswer);
+  claimRequest @6 (organisation :Text, request :Text, attempt :Text) -> (answer :ClaimAnswer);
+  finishRequest @7 (organisation :Text, request :Text, attempt :Text, completed :Bool) -> ();
+
+  admit @8 (admission :Admission) -> (answer :AdmitAnswer);
+  finishAttempt @9 (shard :Text, finished :FinishedAttempt) -> ();
+  # The complete list of the sender's live attempts in the shard.
+  reportProgress @10 (instance :Text, incarnation :UInt64, shard :Text, attempts :List(Progress)) -> (holder :Bool);
+
+  pushChange @11 (change :Change) -> (version :UInt64);
+  changesSince @12 (version :UInt64) -> (changes :List(Change), version :UInt64);
+  snapshot @13 () -> (version :UInt64, text :Text);
+  # Asks a configuration witness to note that `version` is about to be committed.
+  noteVersion @14 (version :UInt64, witnessIncarnation :UInt64) -> (noted :Bool);
+  # Asks a configuration witness for the newest version that it has noted.
+  notedVersion @15 (witnessIncarnation :UInt64) -> (valid :Bool, version :UInt64);
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,86 @@
+//! Clocks and instants. Deadlines are compared on a clock that counts suspended time, so that an
+//! instance that was paused finds its leases lapsed when it resumes.
+
+use std::fmt;
+use std::time::Duration;
+
+/// A point in time on this instance's clock, in milliseconds. Values of different instances are
+/// not comparable.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant {
+    at_ms: u64,
+}
+
+impl Instant {
+    pub const fn from_ms(at_ms: u64) -> Instant {
+        Instant { at_ms }
+    }
+
+    pub fn as_ms(self) -> u64 {
+        self.at_ms
+    }
+
+    pub fn plus_ms(self, ms: u64) -> Instant {
+        Instant { at_ms: self.at_ms.saturating_add(ms) }
+    }
+
+    /// Milliseconds since `earlier`, zero if `earlier` is later.
+    pub fn ms_since(self, earlier: Instant) -> u64 {
+        self.at_ms.saturating_sub(earlier.at_ms)
+    }
+
+    /// The time left until `self`, zero if it has passed.
+    pub fn remaining(self, now: Instant) -> Duration {
+        Duration::from_millis(self.ms_since(now))
+    }
+}
+
+impl fmt::Display for Instant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}s", self.at_ms / 1000, self.at_ms % 1000)
+    }
+}
+
+/// Source of the current time.
+pub trait Clock: Clone + 'static {
+    fn now(&self) -> Instant;
+}
+
+/// `CLOCK_BOOTTIME`: monotonic, and counts the time during which the machine was suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Instant {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Instant::from_ms(time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000)
+    }
+}
+
+/// tokio's clock, which tests can pause and advance.
+#[derive(Clone, Copy, Debug)]
+pub struct TokioClock {
+    origin: tokio::time::Instant,
+}
+
+impl TokioClock {
+    /// Starts well above zero, so that subtraction never reaches the origin.
+    const ORIGIN_MS: u64 = 1_000_000;
+
+    pub fn new() -> TokioClock {
+        TokioClock { origin: tokio::time::Instant::now() }
+    }
+}
+
+impl Default for TokioClock {
+    fn default() -> TokioClock {
+        TokioClock::new()
+    }
+}
+
+impl Clock for TokioClock {
+    fn now(&self) -> Instant {
+        let elapsed_ms = self.origin.elapsed().as_millis() as u64;
+        Instant::from_ms(TokioClock::ORIGIN_MS + elapsed_ms)
+    }
+}
--- /dev/null
+++ b/src/engine/engine_error.rs
@@ -0,0 +1,42 @@
+use derive_more::{Display, Error, From};
+use smol_str::SmolStr;
+
+use crate::http::HttpError;
+use crate::units::Fencing;
+
+/// A failed call to an engine.
+#[derive(Clone, Debug, PartialEq, Display, Error, From)]
+pub enum EngineError {
+    #[display("{_0}")]
+    Http(HttpError),
+    /// The prefill result was dropped before it was imported.
+    #[display("prefill result expired")]
+    #[from(ignore)]
+    PrefillExpired,
+    #[display("transfer of the KV cache did not finish in time")]
+    #[from(ignore)]
+    TransferStalled,
+    #[display("engine is out of memory or slots")]
+    #[from(ignore)]
+    Full,
+    #[display("engine does not hold the attempt")]
+    #[from(ignore)]
+    UnknownAttempt,
+    #[display("engine refused the order: it has seen fencing number {newest}")]
+    #[from(ignore)]
+    Fenced { newest: Fencing },
+    #[display("engine refused the request: {reason}")]
+    #[from(ignore)]
+    Refused {
+        #[error(not(source))]
+        reason: SmolStr,
+    },
+    /// The stream ended without its last event.
+    #[display("stream was cut")]
+    #[from(ignore)]
+    StreamCut,
+    /// No event came before the progress deadline.
+    #[display("stream made no progress")]
+    #[from(ignore)]
+    Silent,
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,14 @@
+//! Model engines: the trait, its HTTP adapter and the types on the wire.
+
+mod engine_error;
+mod engine_trait;
+mod http_engine;
+mod messages;
+
+pub use engine_error::EngineError;
+pub use engine_trait::{Engine, TokenStream};
+pub use http_engine::{HttpEngine, HttpTokenStream};
+pub use messages::{
+    CacheEvent, CacheEvents, CancelRequest, DecodeEvent, DecodeRequest, HeldAttempt, LoadReport,
+    Order, OrderRequest, PrefillRequest, PrefillResult, PrefillSource,
+};
--- /dev/null
+++ b/src/http/handler.rs
@@ -0,0 +1,16 @@
+use std::net::SocketAddr;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use crate::http::ResponseBody;
+
+/// Answers the requests of a server's connections.
+#[allow(async_fn_in_trait)]
+pub trait Handler: 'static {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        remote: SocketAddr,
+    ) -> Response<ResponseBody>;
+}
--- /dev/null
+++ b/src/http/http_error.rs
@@ -0,0 +1,27 @@
+use derive_more::{Display, Error};
+use smol_str::SmolStr;
+
+/// A failed HTTP call.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum HttpError {
+    /// No connection was made; the request was certainly not sent.
+    #[display("cannot connect to {address}: {reason}")]
+    Connect { address: SmolStr, reason: SmolStr },
+    /// The server answered with a status that is not a success.
+    #[display("{address} answered {status}: {body}")]
+    Status { address: SmolStr, status: u16, body: SmolStr },
+    /// The connection broke after the request may have been sent.
+    #[display("connection to {address} broke: {reason}")]
+    Broken { address: SmolStr, reason: SmolStr },
+    #[display("{address} did not answer in time")]
+    Timeout { address: SmolStr },
+    #[display("{address} gave a malformed answer: {reason}")]
+    Malformed { address: SmolStr, reason: SmolStr },
+}
+
+impl HttpError {
+    /// Whether the request certainly did not reach the server.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, HttpError::Connect { .. })
+    }
+}
--- /dev/null
+++ b/src/http/local_executor.rs
@@ -0,0 +1,14 @@
+use std::future::Future;
+
+/// Runs hyper's futures on the current `LocalSet`.
+#[derive(Clone, Copy, Debug)]
+pub struct LocalExecutor;
+
+impl<F> hyper::rt::Executor<F> for LocalExecutor
+where
+    F: Future + 'static,
+{
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(future);
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP client and server on `hyper`, shared by the gateway, the client and the stand-ins.
+
+mod handler;
+mod http_client;
+mod http_error;
+mod local_executor;
+mod response_body;
+mod server;
+
+pub use handler::Handler;
+pub use http_client::HttpClient;
+pub use http_error::HttpError;
+pub use local_executor::LocalExecutor;
+pub use response_body::{BrokenStream, ResponseBody};
+pub use server::serve;
--- /dev/null
+++ b/src/http/response_body.rs
@@ -0,0 +1,67 @@
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// Body of a response: all at once, or chunks from a channel. Dropping the body closes the
+/// channel, which tells the sender that the caller has gone.
+#[derive(Debug)]
+pub enum ResponseBody {
+    Full(Option<Bytes>),
+    /// Chunks until the channel closes. An `Err` breaks the connection instead of ending the body.
+    Stream(mpsc::Receiver<Result<Bytes, BrokenStream>>),
+}
+
+/// Ends a streamed body without its regular end, so that the client sees that it is incomplete.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+#[display("the stream was broken off")]
+pub struct BrokenStream;
+
+impl From<Infallible> for BrokenStream {
+    fn from(never: Infallible) -> BrokenStream {
+        match never {}
+    }
+}
+
+impl ResponseBody {
+    pub fn empty() -> ResponseBody {
+        ResponseBody::Full(None)
+    }
+
+    pub fn full(bytes: impl Into<Bytes>) -> ResponseBody {
+        ResponseBody::Full(Some(bytes.into()))
+    }
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = BrokenStream;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        match self.get_mut() {
+            ResponseBody::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            ResponseBody::Stream(chunks) => {
+                chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, ResponseBody::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ResponseBody::Full(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            ResponseBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,87 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::http::{Handler, LocalExecutor};
+
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_HEADER_BYTES: usize = 32 << 10;
+/// Pause after a failed accept, for example when file descriptors have run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Accepts connections, one task for each, until `shutdown` becomes true or its sender is
+/// dropped; then closes them gracefully and returns when all have ended.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    shutdown: watch::Receiver<bool>,
+) {
+    let mut stop = shutdown.clone();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, remote)) => {
+                    let handler = Rc::clone(&handler);
+                    connections.spawn_local(serve_connection(
+                        stream, remote, handler, shutdown.clone(),
+                    ));
+                }
+                Err(error) => {
+                    log::warn!("accept failed: {error}");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            _ = stop.wait_for(|stop| *stop) => break,
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    remote: SocketAddr,
+    handler: Rc<H>,
+    mut shutdown: watch::Receiver<bool>,
+) {
+    // Token streams are small writes; delaying them would add to the time between tokens.
+    let _ = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(LocalExecutor);
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(MAX_HEADER_BYTES);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
+    let service = service_fn(move |request| {
+        let handler = Rc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            served = connection.as_mut() => {
+                if let Err(error) = served {
+                    log::debug!("connection from {remote} ended: {error}");
+                }
+                return;
+            }
+            _ = shutdown.wait_for(|stop| *stop), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/jsonc/locate.rs
@@ -0,0 +1,61 @@
+//! Positions of values in the text of a document.
+
+use std::ops::Range;
+
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use smol_str::SmolStr;
+
+use crate::jsonc::JsoncError;
+
+/// Name and byte range of the value of each member of the document's top-level object.
+pub fn member_ranges(text: &str) -> Result<Vec<(SmolStr, Range<usize>)>, JsoncError> {
+    let value = parse(text)?;
+    let Some(Value::Object(object)) = value else {
+        return Err(JsoncError::at_offset(text, 0, "expected an object"));
+    };
+    let members = object.properties.iter().map(|property| {
+        let range = property.value.range();
+        (property.name.as_str().into(), range.start..range.end)
+    });
+    Ok(members.collect())
+}
+
+/// Byte offset of the value at a path of member names and array indices, or of the innermost
+/// value on the path that exists.
+pub fn position_of_path(text: &str, path: &serde_path_to_error::Path) -> usize {
+    use serde_path_to_error::Segment;
+    let Ok(Some(root)) = parse(text) else { return 0 };
+    let mut value = &root;
+    let mut offset = value.range().start;
+    for segment in path.iter() {
+        let next = match (segment, value) {
+            (Segment::Map { key }, Value::Object(object)) => {
+                object.properties.iter().find(|p| p.name.as_str() == key).map(|p| {
+                    offset = p.range.start;
+                    &p.value
+                })
+            }
+            (Segment::Seq { index }, Value::Array(array)) => array.elements.get(*index),
+            _ => None,
+        };
+        let Some(next) = next else { break };
+        value = next;
+        if matches!(segment, Segment::Seq { .. }) {
+            offset = value.range().start;
+        }
+    }
+    offset
+}
+
+fn parse(text: &str) -> Result<Option<Value<'_>>, JsoncError> {
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        ..ParseOptions::default()
+    };
+    parse_to_ast(text, &CollectOptions::default(), &options)
+        .map(|parsed| parsed.value)
+        .map_err(|e| JsoncError::at_offset(text, e.range().start, e.kind().to_string()))
+}
--- /dev/null
+++ b/src/platform/table.rs
@@ -0,0 +1,20 @@
+use crate::platform::{CommitOutcome, PlatformError, Row, Transaction};
+
+/// The platform's transactional table. A call may be answered late, or its answer may be lost
+/// after the write took effect.
+#[allow(async_fn_in_trait)]
+pub trait Table: Clone + 'static {
+    /// Reads rows in one call, in the order of `keys`.
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError>;
+
+    /// Reads at most `limit` rows with the prefix whose keys sort after `after`.
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<(String, Row)>, PlatformError>;
+
+    /// Applies all writes if all conditions hold, otherwise none.
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError>;
+}
--- /dev/null
+++ b/src/units/tokens_per_second.rs
@@ -0,0 +1,6 @@
+use crate::units::macros::quantity;
+
+quantity! {
+    /// Token rate.
+    TokensPerSecond
+}
--- /dev/null
+++ b/src/units/version.rs
@@ -0,0 +1,6 @@
+use crate::units::macros::quantity;
+
+quantity! {
+    /// Version of the configuration document.
+    Version
+}
