Add the typed peer protocol, connections and membership

Cause: instances must call each other with typed messages, notice silent connections and know the fleet without a full mesh. Change: PeerService, PeerServer and PeerClient convert between the Cap'n Proto messages and plain types; one task holds each connection and replaces it after two unanswered heartbeats; Membership keeps a view from heartbeats, gossip and the platform's list.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -203,7 +203,8 @@
   finishRequest @7 (organisation :Text, request :Text, attempt :Text, completed :Bool) -> ();
 
   admit @8 (admission :Admission) -> (answer :AdmitAnswer);
-  finishAttempt @9 (shard :Text, finished :FinishedAttempt) -> ();
+  # Returns how many endpoints died under requests with this fingerprint.
+  finishAttempt @9 (shard :Text, finished :FinishedAttempt, fingerprint :UInt64) -> (crashes :UInt32);
   # The complete list of the sender's live attempts in the shard.
   reportProgress @10 (instance :Text, incarnation :UInt64, shard :Text, attempts :List(Progress)) -> (holder :Bool);
 
--- /dev/null
+++ b/src/peer/connection.rs
@@ -0,0 +1,85 @@
+//! Connections between instances: one task for each.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::AsyncReadExt;
+use futures::io::{BufReader, BufWriter};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::peer::{PeerClient, PeerError, PeerServer, PeerService};
+use crate::peer_capnp::peer;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// An open connection. Dropping it ends the connection's task.
+pub struct Connection {
+    pub client: PeerClient,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    pub async fn open(address: &str) -> Result<Connection, PeerError> {
+        let connect = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+            Err(_) => return Err(PeerError::Timeout),
+            Ok(Err(_)) => return Err(PeerError::NotConnected),
+            Ok(Ok(stream)) => stream,
+        };
+        let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+        let client: peer::Client = system.bootstrap(Side::Server);
+        let task = tokio::task::spawn_local(run(system));
+        Ok(Connection { client: PeerClient::new(client), task })
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.task.is_finished()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Accepts connections from peers until the task is dropped.
+pub async fn accept_peers<S: PeerService>(listener: TcpListener, service: Rc<S>) {
+    let client: peer::Client = capnp_rpc::new_client(PeerServer::new(service));
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let bootstrap = client.clone().client;
+                    let network = Box::new(network(stream, Side::Server));
+                    connections.spawn_local(run(RpcSystem::new(network, Some(bootstrap))));
+                }
+                Err(error) => {
+                    log::warn!(target: "peer", "accept failed: {error}");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+type Reader = BufReader<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>>;
+
+fn network(stream: TcpStream, side: Side) -> VatNetwork<Reader> {
+    // Calls are small and latency counts.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    VatNetwork::new(BufReader::new(reader), BufWriter::new(writer), side, Default::default())
+}
+
+async fn run(system: RpcSystem<Side>) {
+    if let Err(error) = system.await {
+        log::debug!(target: "peer", "connection ended: {error}");
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,7 +1,25 @@
 //! Communication between instances: protocol, connections, membership.
 
+mod connection;
+mod decode;
+mod encode;
 mod heartbeat;
 mod member;
+mod membership;
+mod peer_client;
+mod peer_error;
+mod peer_server;
+mod peer_service;
+mod peers;
+mod request_claim;
 
+pub use connection::{Connection, accept_peers};
 pub use heartbeat::Heartbeat;
 pub use member::Member;
+pub use membership::Membership;
+pub use peer_client::PeerClient;
+pub use peer_error::PeerError;
+pub use peer_server::PeerServer;
+pub use peer_service::PeerService;
+pub use peers::{HeartbeatSource, Peers};
+pub use request_claim::RequestClaim;
--- /dev/null
+++ b/src/peer/peer_client.rs
@@ -0,0 +1,204 @@
+use std::future::Future;
+use std::time::Duration;
+
+use smol_str::ToSmolStr;
+
+use crate::budget::{DrawAnswer, DrawRequest};
+use crate::config::Change;
+use crate::lease::{Holding, LeaseClaim};
+use crate::peer::{Heartbeat, PeerError, RequestClaim, decode, encode};
+use crate::peer_capnp::peer;
+use crate::pool::{Admission, AdmitAnswer, FinishedAttempt, Progress};
+use crate::units::{
+    AttemptId, Fingerprint, Incarnation, InstanceId, OrganisationId, RequestId, ShardId, Version,
+};
+
+/// Limit of a call that the peer answers from memory.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Limit of a call that carries a shard's state or a whole document.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Added to an admission's queue time for the way to the owner and back.
+const ADMIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Typed calls to one peer, each with a timeout.
+#[derive(Clone)]
+pub struct PeerClient {
+    client: peer::Client,
+}
+
+impl PeerClient {
+    pub fn new(client: peer::Client) -> PeerClient {
+        PeerClient { client }
+    }
+
+    pub async fn heartbeat(&self, heartbeat: &Heartbeat) -> Result<Heartbeat, PeerError> {
+        let mut request = self.client.heartbeat_request();
+        encode::heartbeat(request.get().init_heartbeat(), heartbeat);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        decode::heartbeat(response.get()?.get_heartbeat()?)
+    }
+
+    pub async fn holders(&self, shards: &[ShardId]) -> Result<Vec<Holding>, PeerError> {
+        let mut request = self.client.holders_request();
+        encode::shards(request.get().init_shards(shards.len() as u32), shards);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        decode::holdings(response.get()?.get_holdings()?)
+    }
+
+    pub async fn extend_lease(&self, claim: &LeaseClaim) -> Result<bool, PeerError> {
+        let mut request = self.client.extend_lease_request();
+        encode::lease_claim(request.get().init_claim(), claim);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(response.get()?.get_granted())
+    }
+
+    pub async fn consent_takeover(&self, claim: &LeaseClaim) -> Result<bool, PeerError> {
+        let mut request = self.client.consent_takeover_request();
+        encode::lease_claim(request.get().init_claim(), claim);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(response.get()?.get_granted())
+    }
+
+    pub async fn hand_over(&self, shard: &ShardId, state: &[u8]) -> Result<bool, PeerError> {
+        let mut request = self.client.hand_over_request();
+        request.get().set_shard(shard.to_smolstr().as_str());
+        request.get().set_state(state);
+        let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
+        Ok(response.get()?.get_accepted())
+    }
+
+    pub async fn draw(&self, draw: &DrawRequest) -> Result<DrawAnswer, PeerError> {
+        let mut request = self.client.draw_request();
+        encode::draw_request(request.get().init_request(), draw);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        decode::draw_answer(response.get()?.get_answer()?)
+    }
+
+    pub async fn claim_request(
+        &self,
+        organisation: &OrganisationId,
+        id: &RequestId,
+        attempt: &AttemptId,
+    ) -> Result<RequestClaim, PeerError> {
+        let mut request = self.client.claim_request_request();
+        let mut params = request.get();
+        params.set_organisation(organisation.as_str());
+        params.set_request(id.as_str());
+        params.set_attempt(attempt.to_smolstr().as_str());
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        decode::request_claim(response.get()?.get_answer()?)
+    }
+
+    pub async fn finish_request(
+        &self,
+        organisation: &OrganisationId,
+        id: &RequestId,
+        attempt: &AttemptId,
+        completed: bool,
+    ) -> Result<(), PeerError> {
+        let mut request = self.client.finish_request_request();
+        let mut params = request.get();
+        params.set_organisation(organisation.as_str());
+        params.set_request(id.as_str());
+        params.set_attempt(attempt.to_smolstr().as_str());
+        params.set_completed(completed);
+        limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+
+    pub async fn admit(&self, admission: &Admission) -> Result<AdmitAnswer, PeerError> {
+        let limit = Duration::from_millis(admission.queue_ms) + ADMIT_MARGIN;
+        let mut request = self.client.admit_request();
+        encode::admission(request.get().init_admission(), admission);
+        let response = limited(limit, request.send().promise).await?;
+        decode::admit_answer(response.get()?.get_answer()?)
+    }
+
+    pub async fn finish_attempt(
+        &self,
+        shard: &ShardId,
+        finished: &FinishedAttempt,
+        fingerprint: Fingerprint,
+    ) -> Result<u32, PeerError> {
+        let mut request = self.client.finish_attempt_request();
+        request.get().set_shard(shard.to_smolstr().as_str());
+        request.get().set_fingerprint(fingerprint.0);
+        encode::finished_attempt(request.get().init_finished(), finished);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(response.get()?.get_crashes())
+    }
+
+    pub async fn report_progress(
+        &self,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+        shard: &ShardId,
+        attempts: &[Progress],
+    ) -> Result<bool, PeerError> {
+        let mut request = self.client.report_progress_request();
+        let mut params = request.get();
+        params.set_instance(instance.as_str());
+        params.set_incarnation(incarnation.0);
+        params.set_shard(shard.to_smolstr().as_str());
+        encode::progress_list(params.init_attempts(attempts.len() as u32), attempts);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(response.get()?.get_holder())
+    }
+
+    pub async fn push_change(&self, change: &Change) -> Result<Version, PeerError> {
+        let mut request = self.client.push_change_request();
+        encode::change(request.get().init_change(), change);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(Version(response.get()?.get_version()))
+    }
+
+    pub async fn changes_since(
+        &self,
+        version: Version,
+    ) -> Result<(Vec<Change>, Version), PeerError> {
+        let mut request = self.client.changes_since_request();
+        request.get().set_version(version.0);
+        let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
+        let response = response.get()?;
+        let changes: Result<_, PeerError> =
+            response.get_changes()?.iter().map(decode::change).collect();
+        Ok((changes?, Version(response.get_version())))
+    }
+
+    pub async fn snapshot(&self) -> Result<(Version, String), PeerError> {
+        let request = self.client.snapshot_request();
+        let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
+        let response = response.get()?;
+        Ok((Version(response.get_version()), response.get_text()?.to_str()?.into()))
+    }
+
+    pub async fn note_version(
+        &self,
+        version: Version,
+        witness: Incarnation,
+    ) -> Result<bool, PeerError> {
+        let mut request = self.client.note_version_request();
+        request.get().set_version(version.0);
+        request.get().set_witness_incarnation(witness.0);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(response.get()?.get_noted())
+    }
+
+    pub async fn noted_version(&self, witness: Incarnation) -> Result<Option<Version>, PeerError> {
+        let mut request = self.client.noted_version_request();
+        request.get().set_witness_incarnation(witness.0);
+        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = response.get()?;
+        Ok(response.get_valid().then(|| Version(response.get_version())))
+    }
+}
+
+async fn limited<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, PeerError> {
+    match tokio::time::timeout(limit, call).await {
+        Ok(answer) => Ok(answer?),
+        Err(_) => Err(PeerError::Timeout),
+    }
+}
--- /dev/null
+++ b/src/peer/request_claim.rs
@@ -0,0 +1,14 @@
+use crate::lease::Holding;
+use crate::units::AttemptId;
+
+/// Answer to the claim of a request id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestClaim {
+    Claimed,
+    /// Another attempt answers or has answered this request.
+    Held {
+        attempt: AttemptId,
+        completed: bool,
+    },
+    NotHolder(Option<Holding>),
+}
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -10796,11 +10796,15 @@
             pub fn has_finished(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_fingerprint(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10882,6 +10886,14 @@
             pub fn has_finished(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_fingerprint(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_fingerprint(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10896,17 +10908,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(160, 90, 88, 144, 3, 96, 155, 183),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -10914,21 +10926,28 @@
                 ::capnp::word(102, 105, 110, 105, 115, 104, 65, 116),
                 ::capnp::word(116, 101, 109, 112, 116, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10946,11 +10965,21 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+                ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::finished_attempt::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10964,9 +10993,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xb79b_6003_9058_5aa0;
         }
     }
@@ -11032,11 +11061,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_crashes(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11086,6 +11119,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_crashes(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_crashes(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -11097,17 +11138,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(212, 43, 108, 229, 137, 244, 152, 223),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -11115,9 +11156,28 @@
                 ::capnp::word(102, 105, 110, 105, 115, 104, 65, 116),
                 ::capnp::word(116, 101, 109, 112, 116, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -11129,9 +11189,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xdf98_f489_e56c_2bd4;
         }
     }
--- a/src/units/macros.rs
+++ b/src/units/macros.rs
@@ -21,6 +21,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl std::str::FromStr for $name {
             type Err = crate::units::UnitError;
 
