Add stand-ins for the engine and the platform

Later tests need engines and a platform that die, stall, answer late or lose answers on demand.

src/standin serves the protocols of HttpEngine and HttpPlatform on the HTTP server of this package. Output tokens follow from a hash of the prompt, so that a checker can recompute a whole answer. A library function starts each stand-in on a port that the kernel chooses; dropping its handle stops it abruptly.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod peer;
 pub mod platform;
 pub mod pool;
+pub mod standin;
 pub mod suspect;
 pub mod units;
 
--- /dev/null
+++ b/src/standin/engine/prefix_cache.rs
@@ -0,0 +1,80 @@
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::settings::EngineSettings;
+use crate::engine::{CacheEvent, CacheEvents};
+use crate::standin::expected::prefix_hashes;
+
+const KEPT_EVENTS: usize = 20_000;
+
+/// Bounded prefix cache of each scope, and the late events of its changes.
+#[derive(Debug, Default)]
+pub struct PrefixCache {
+    /// Blocks of each scope, least recently used first.
+    scopes: HashMap<SmolStr, VecDeque<u64>>,
+    /// Scopes, least recently used first.
+    order: VecDeque<SmolStr>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    sequence: u64,
+}
+
+impl PrefixCache {
+    /// Looks up and stores a prompt's prefixes; returns the tokens that were cached.
+    pub fn visit(&mut self, settings: &EngineSettings, scope: &SmolStr, prompt: &str) -> u64 {
+        let hashes = prefix_hashes(scope, prompt, settings.cache_block_tokens);
+        let mut blocks = self.scopes.remove(scope).unwrap_or_default();
+        let cached = hashes.iter().take_while(|hash| blocks.contains(hash)).count();
+        for (index, hash) in hashes.iter().enumerate() {
+            match index < cached {
+                true => blocks.retain(|block| block != hash),
+                false => self.record(settings, scope, *hash, true),
+            }
+            blocks.push_back(*hash);
+        }
+        while blocks.len() > settings.cache_blocks_per_scope {
+            if let Some(hash) = blocks.pop_front() {
+                self.record(settings, scope, hash, false);
+            }
+        }
+        self.scopes.insert(scope.clone(), blocks);
+        self.touch(settings, scope);
+        cached as u64 * settings.cache_block_tokens
+    }
+
+    fn touch(&mut self, settings: &EngineSettings, scope: &SmolStr) {
+        self.order.retain(|other| other != scope);
+        self.order.push_back(scope.clone());
+        while self.order.len() > settings.cache_scopes {
+            let Some(oldest) = self.order.pop_front() else { return };
+            for hash in self.scopes.remove(&oldest).unwrap_or_default() {
+                self.record(settings, &oldest, hash, false);
+            }
+        }
+    }
+
+    fn record(&mut self, settings: &EngineSettings, scope: &SmolStr, hash: u64, stored: bool) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        if settings.event_gap_every > 0 && sequence.is_multiple_of(settings.event_gap_every) {
+            return;
+        }
+        let event = CacheEvent { sequence, scope: scope.clone(), prefix_hash: hash, stored };
+        let visible_at = Instant::now() + Duration::from_millis(settings.event_delay_ms);
+        self.events.push_back((visible_at, event));
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    pub fn events_after(&self, after: u64) -> CacheEvents {
+        let now = Instant::now();
+        let visible = || self.events.iter().take_while(|(at, _)| *at <= now).map(|(_, e)| e);
+        CacheEvents {
+            last_sequence: visible().last().map_or(0, |event| event.sequence),
+            events: visible().filter(|event| event.sequence > after).cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/service.rs
@@ -0,0 +1,193 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::faults::EngineFaults;
+use super::settings::{EngineRole, EngineSettings};
+use super::state::State;
+use crate::engine::{CancelRequest, LoadReport};
+use crate::http::{Handler, ResponseBody};
+use crate::standin::answer::{Answer, Refusal, json, not_found, read_json};
+use crate::standin::network::Network;
+use crate::standin::secrets::SecretWatch;
+
+const LOAD_PERIOD: Duration = Duration::from_millis(50);
+
+/// An engine: its state and the signals to its loops.
+pub struct EngineService {
+    pub settings: EngineSettings,
+    pub network: Network,
+    pub stop: CancellationToken,
+    pub state: RefCell<State>,
+    /// A prefill was queued.
+    pub prefill_queued: Notify,
+    /// A decode was imported.
+    pub decode_ready: Notify,
+    /// Part of the names of results, so that a restarted engine does not reuse them.
+    pub nonce: String,
+    secrets: SecretWatch,
+}
+
+impl EngineService {
+    pub fn new(settings: EngineSettings, stop: CancellationToken) -> EngineService {
+        EngineService {
+            network: Network::new(),
+            stop,
+            state: RefCell::new(State::new(&settings)),
+            prefill_queued: Notify::new(),
+            decode_ready: Notify::new(),
+            nonce: format!("{:x}", rand::random::<u64>()),
+            secrets: SecretWatch::new(settings.key_marker.clone()),
+            settings,
+        }
+    }
+
+    pub fn crash(&self) {
+        log::error!(target: "standin", "engine crashes");
+        self.stop.cancel();
+    }
+
+    /// Refuses work that does not fit the engine's role and models. `opposite` is the role that
+    /// does not take it.
+    pub(super) fn check_work(
+        &self,
+        state: &State,
+        opposite: EngineRole,
+        model: &str,
+    ) -> Result<(), Refusal> {
+        if state.role() == opposite {
+            return Err(Refusal::new(StatusCode::CONFLICT, "wrong_role"));
+        }
+        if !self.settings.serves(&state.stats.models, model) {
+            return Err(Refusal::new(StatusCode::CONFLICT, "wrong_model"));
+        }
+        Ok(())
+    }
+
+    async fn control(&self, request: Request<Incoming>) -> Answer {
+        match request.uri().path() {
+            "/standin/stats" => {
+                let mut stats = self.state.borrow().stats();
+                stats.secrets = self.secrets.stats();
+                json(&stats)
+            }
+            "/standin/faults" => {
+                let faults: EngineFaults = read_json(request).await?;
+                self.set_faults(faults);
+                json(&())
+            }
+            _ => Err(not_found()),
+        }
+    }
+
+    fn set_faults(&self, faults: EngineFaults) {
+        log::info!(target: "standin", "engine faults: {faults:?}");
+        if faults.silent {
+            self.network.silence();
+        }
+        if faults.freeze_ms > 0 {
+            self.network.freeze(faults.freeze_ms);
+        }
+        if faults.crash {
+            self.crash();
+        }
+        self.network.set_delay(faults.delay_ms);
+        let mut state = self.state.borrow_mut();
+        state.go_cold(faults.cold_ms);
+        state.faults = faults;
+    }
+
+    async fn route(self: Rc<Self>, request: Request<Incoming>, remote: SocketAddr) -> Answer {
+        let path = request.uri().path().to_string();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, "/engine/prefill") => self.prefill(read_json(request).await?).await,
+            (Method::POST, "/engine/decode") => {
+                self.decode(read_json(request).await?, remote).await
+            }
+            (Method::POST, "/engine/cancel") => self.cancel(read_json(request).await?),
+            (Method::POST, "/engine/order") => self.order(read_json(request).await?),
+            (Method::GET, "/engine/held") => json(&self.state.borrow().memory.list()),
+            (Method::GET, "/engine/load") => json(&self.published_load()),
+            (Method::GET, "/engine/events") => self.events(request.uri().query()),
+            (Method::GET, path) => match path.strip_prefix("/engine/kv/") {
+                Some(handle) => self.send_kv(handle).await,
+                None => Err(not_found()),
+            },
+            _ => Err(not_found()),
+        }
+    }
+
+    fn cancel(&self, request: CancelRequest) -> Answer {
+        let mut state = self.state.borrow_mut();
+        state.cancel(&request.attempt);
+        state.stats.attempt(&request.attempt).cancels += 1;
+        json(&())
+    }
+
+    fn events(&self, query: Option<&str>) -> Answer {
+        let after = query.and_then(|q| q.strip_prefix("after=")).and_then(|n| n.parse().ok());
+        let after = after.ok_or(Refusal::new(StatusCode::BAD_REQUEST, "malformed_query"))?;
+        json(&self.state.borrow().cache.events_after(after))
+    }
+
+    fn published_load(&self) -> LoadReport {
+        let lag = Duration::from_millis(self.settings.load_lag_ms);
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let old_enough = state.load_history.iter().rev().find(|(at, _)| *at + lag <= now);
+        match old_enough.or(state.load_history.front()) {
+            Some((at, load)) => {
+                LoadReport { age_ms: (now - *at).as_millis() as u64, ..load.clone() }
+            }
+            None => LoadReport::default(),
+        }
+    }
+
+    /// Publishes the load at regular times.
+    pub async fn run_load(self: Rc<Self>) {
+        let lag = Duration::from_millis(self.settings.load_lag_ms) + LOAD_PERIOD * 2;
+        loop {
+            self.network.thawed().await;
+            let now = Instant::now();
+            {
+                let mut state = self.state.borrow_mut();
+                let load = state.load();
+                state.load_history.push_back((now, load));
+                while state.load_history.front().is_some_and(|(at, _)| *at + lag < now) {
+                    state.load_history.pop_front();
+                }
+            }
+            tokio::time::sleep(LOAD_PERIOD).await;
+        }
+    }
+}
+
+/// Handler of the engine's connections.
+pub struct EngineHandler(pub Rc<EngineService>);
+
+impl Handler for EngineHandler {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        remote: SocketAddr,
+    ) -> Response<ResponseBody> {
+        let service = Rc::clone(&self.0);
+        if request.uri().path().starts_with("/standin/") {
+            return service.control(request).await.unwrap_or_else(Refusal::response);
+        }
+        service.secrets.note(&request);
+        service.network.note(remote);
+        service.network.pass(remote).await;
+        let answer = Rc::clone(&service).route(request, remote).await;
+        service.network.delay().await;
+        service.network.pass(remote).await;
+        answer.unwrap_or_else(Refusal::response)
+    }
+}
--- /dev/null
+++ b/src/standin/engine/settings.rs
@@ -0,0 +1,133 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Settings of an engine's stand-in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineSettings {
+    pub role: EngineRole,
+    /// Models that the engine serves; any if empty.
+    pub models: Vec<String>,
+    pub pieces: u64,
+    pub tokens_per_piece: u64,
+    /// Decodes that the engine runs or imports at once.
+    pub slots: u32,
+    /// Time per output token: base, and per running request.
+    pub token_base_ms: f64,
+    pub token_per_running_ms: f64,
+    pub prefill_base_ms: f64,
+    /// Time per prompt token that the prefix cache does not hold.
+    pub prefill_per_token_ms: f64,
+    /// Prefills that wait; more are refused.
+    pub prefill_queue: usize,
+    pub prefill_ttl_ms: u64,
+    pub cache_block_tokens: u64,
+    /// Blocks that the prefix cache of one scope holds.
+    pub cache_blocks_per_scope: usize,
+    pub cache_scopes: usize,
+    pub kv_bytes_per_token: u64,
+    /// Rate at which the engine sends KV caches; zero for no limit.
+    pub link_bytes_per_s: u64,
+    /// An import that takes longer is given up.
+    pub transfer_timeout_ms: u64,
+    pub cancel_on_disconnect: bool,
+    pub checks_fencing: bool,
+    pub load_lag_ms: u64,
+    pub event_delay_ms: u64,
+    /// Leaves out each n-th cache event; zero for none.
+    pub event_gap_every: u64,
+    /// Time of slow work after the start and after a model was loaded.
+    pub cold_ms: u64,
+    pub cold_factor: f64,
+    pub load_model_ms: u64,
+    /// Words of a prompt that make the process crash.
+    pub crash_prefill_word: String,
+    pub crash_decode_word: String,
+    pub crash_after_tokens: u64,
+    /// Text that only callers' keys contain.
+    pub key_marker: Option<String>,
+}
+
+/// Work that an engine takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    #[default]
+    Both,
+    Prefill,
+    Decode,
+}
+
+impl EngineRole {
+    pub(super) fn of_name(name: &str) -> Option<EngineRole> {
+        match name {
+            "both" => Some(EngineRole::Both),
+            "prefill" => Some(EngineRole::Prefill),
+            "decode" => Some(EngineRole::Decode),
+            _ => None,
+        }
+    }
+}
+
+impl EngineSettings {
+    pub fn pieces_of(&self, tokens: u64) -> u64 {
+        tokens.div_ceil(self.tokens_per_piece.max(1)).max(1)
+    }
+
+    /// Time of a prefill on a warm engine.
+    pub fn prefill_time(&self, prompt_tokens: u64, cached_tokens: u64) -> Duration {
+        let computed = prompt_tokens.saturating_sub(cached_tokens) as f64;
+        duration_ms(self.prefill_base_ms + self.prefill_per_token_ms * computed)
+    }
+
+    /// Time between two tokens on a warm engine.
+    pub fn token_time(&self, running: u32) -> Duration {
+        duration_ms(self.token_base_ms + self.token_per_running_ms * f64::from(running))
+    }
+
+    pub(super) fn serves(&self, loaded: &[SmolStr], model: &str) -> bool {
+        self.models.is_empty() || loaded.iter().any(|name| name == model)
+    }
+}
+
+fn duration_ms(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
+
+impl Default for EngineSettings {
+    fn default() -> EngineSettings {
+        EngineSettings {
+            role: EngineRole::Both,
+            models: Vec::new(),
+            pieces: 1000,
+            tokens_per_piece: 16,
+            slots: 24,
+            token_base_ms: 15.0,
+            token_per_running_ms: 0.5,
+            prefill_base_ms: 5.0,
+            prefill_per_token_ms: 0.5,
+            prefill_queue: 64,
+            prefill_ttl_ms: 800,
+            cache_block_tokens: 16,
+            cache_blocks_per_scope: 512,
+            cache_scopes: 64,
+            kv_bytes_per_token: 100_000,
+            link_bytes_per_s: 2_000_000_000,
+            transfer_timeout_ms: 500,
+            cancel_on_disconnect: false,
+            checks_fencing: true,
+            load_lag_ms: 500,
+            event_delay_ms: 500,
+            event_gap_every: 10,
+            cold_ms: 0,
+            cold_factor: 4.0,
+            load_model_ms: 1000,
+            crash_prefill_word: "!crash-prefill".into(),
+            crash_decode_word: "!crash-decode".into(),
+            crash_after_tokens: 3,
+            key_marker: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/stats.rs
@@ -0,0 +1,57 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::settings::EngineRole;
+use crate::engine::OrderRequest;
+use crate::standin::SecretStats;
+use crate::units::{AttemptId, Fencing};
+
+const KEPT_ATTEMPTS: usize = 200_000;
+
+/// What the engine did for one attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AttemptCounts {
+    pub prefills: u64,
+    pub decodes: u64,
+    pub resumes: u64,
+    pub cancels: u64,
+    pub tokens: u64,
+    pub completed: u64,
+}
+
+/// What an engine's stand-in did since its start.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineStats {
+    pub secrets: SecretStats,
+    pub attempts: BTreeMap<AttemptId, AttemptCounts>,
+    pub prefills: u64,
+    pub prefills_expired: u64,
+    pub cached_tokens: u64,
+    pub imports: u64,
+    pub output_tokens: u64,
+    pub completed: u64,
+    pub refused_full: u64,
+    /// Prefills whose generated tokens are not those of the expected answer.
+    pub wrong_generated: u64,
+    /// Decodes whose KV cache belongs to another prompt or offset.
+    pub wrong_kv: u64,
+    pub orders: Vec<OrderRequest>,
+    pub orders_fenced: u64,
+    pub newest_fencing: Fencing,
+    pub role: EngineRole,
+    pub models: Vec<SmolStr>,
+    pub used_pieces: u64,
+    pub running: u32,
+    pub queued: u32,
+}
+
+impl EngineStats {
+    pub(super) fn attempt(&mut self, attempt: &AttemptId) -> &mut AttemptCounts {
+        if self.attempts.len() >= KEPT_ATTEMPTS && !self.attempts.contains_key(attempt) {
+            self.attempts.pop_first();
+        }
+        self.attempts.entry(attempt.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/src/standin/link.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// A link of limited rate that serves transfers in order of their arrival.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    bytes_per_s: u64,
+    free_at: Instant,
+}
+
+impl Link {
+    /// A rate of zero means no limit.
+    pub fn new(bytes_per_s: u64) -> Link {
+        Link { bytes_per_s, free_at: Instant::now() }
+    }
+
+    /// Adds a transfer and returns the time at which it ends.
+    pub fn reserve(&mut self, bytes: u64) -> Instant {
+        let start = self.free_at.max(Instant::now());
+        if self.bytes_per_s > 0 {
+            let seconds = bytes as f64 / self.bytes_per_s as f64;
+            self.free_at = start + Duration::from_secs_f64(seconds);
+            return self.free_at;
+        }
+        start
+    }
+}
