Add stand-ins for the plain service and the weight store, and the program

Experiments run the outside systems as processes, and at-most-once calls need a service that shows repeats.

almondroad-standin starts each stand-in with settings in JSON with comments and prints its address. The plain service counts effects by a body member or a header; a file keeps the counts across a crash. The tests are split by stand-in.

--- /dev/null
+++ b/src/bin/almondroad-standin.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for the outside systems, as processes.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    almondroad::standin::run_standin(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/src/standin/command.rs
@@ -0,0 +1,143 @@
+//! The commands of `almondroad-standin`.
+
+use std::ffi::OsString;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use derive_more::{Display, Error, From};
+use pico_args::Arguments;
+use serde::de::DeserializeOwned;
+
+use crate::jsonc::{JsoncError, read_jsonc};
+use crate::standin::{
+    Effects, PlainSettings, Standin, start_engine, start_plain, start_platform, start_weights,
+};
+
+const USAGE: &str = "\
+Runs a stand-in for an outside system.
+
+Usage: almondroad-standin COMMAND [--settings FILE] [--listen ADDRESS]
+
+Commands:
+  engine    model engine: prefill, decode, transfer of KV caches
+  platform  table, object store and list of instances
+  plain     plain service that counts its effects
+  weights   weight store
+
+Options:
+  --settings FILE    settings as JSON with comments; all have defaults
+  --listen ADDRESS   address and port, 127.0.0.1:0 by default
+  --help             prints this text
+  --version          prints the version
+
+Prints `listening on ADDRESS` when it is ready. GET /standin/stats shows what
+the stand-in did; POST /standin/faults sets its faults.
+Exit status: 1 after a failure or a crash on demand, 2 after an error in
+the usage or the settings.
+";
+
+/// An error that ends the program.
+#[derive(Debug, Display, Error, From)]
+enum CommandError {
+    #[display("{_0}")]
+    Usage(pico_args::Error),
+    #[display("unexpected argument {argument:?}")]
+    #[from(ignore)]
+    Unexpected { argument: OsString },
+    #[display("unknown command {command:?}")]
+    #[from(ignore)]
+    UnknownCommand { command: String },
+    #[display("cannot read {}: {error}", path.display())]
+    #[from(ignore)]
+    Unreadable { path: PathBuf, error: io::Error },
+    #[display("{}: {error}", path.display())]
+    #[from(ignore)]
+    Settings { path: PathBuf, error: JsoncError },
+    #[display("{_0}")]
+    Io(io::Error),
+    #[display("crashed on demand")]
+    #[from(ignore)]
+    Crashed,
+}
+
+struct Options {
+    command: String,
+    listen: SocketAddr,
+    settings: Option<PathBuf>,
+}
+
+/// Runs the program with its arguments, without the program's name.
+pub fn run_standin(arguments: Vec<OsString>) -> ExitCode {
+    let Err(error) = run(Arguments::from_vec(arguments)) else { return ExitCode::SUCCESS };
+    eprintln!("almondroad-standin: {error}");
+    match error {
+        CommandError::Io(_) | CommandError::Crashed => ExitCode::from(1),
+        _ => ExitCode::from(2),
+    }
+}
+
+fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    if arguments.contains("--help") {
+        return Ok(print(USAGE)?);
+    }
+    if arguments.contains("--version") {
+        return Ok(print(concat!("almondroad-standin ", env!("CARGO_PKG_VERSION"), "\n"))?);
+    }
+    let options = read_options(arguments)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let standin = options.start().await?;
+        print(&format!("listening on {}\n", standin.address()))?;
+        standin.ended().await;
+        Err(CommandError::Crashed)
+    })
+}
+
+fn read_options(mut arguments: Arguments) -> Result<Options, CommandError> {
+    let settings = arguments.opt_value_from_os_str("--settings", |path| {
+        Ok::<_, std::convert::Infallible>(PathBuf::from(path))
+    })?;
+    let listen = arguments.opt_value_from_str("--listen")?;
+    let command = arguments.subcommand()?.ok_or(pico_args::Error::MissingArgument)?;
+    if let Some(argument) = arguments.finish().into_iter().next() {
+        return Err(CommandError::Unexpected { argument });
+    }
+    let listen = listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+    Ok(Options { command, listen, settings })
+}
+
+impl Options {
+    async fn start(&self) -> Result<Standin, CommandError> {
+        let standin = match self.command.as_str() {
+            "engine" => start_engine(self.listen, self.read_settings()?).await?,
+            "platform" => start_platform(self.listen, self.read_settings()?).await?,
+            "weights" => start_weights(self.listen, self.read_settings()?).await?,
+            "plain" => {
+                let settings: PlainSettings = self.read_settings()?;
+                let effects = match &settings.effects_file {
+                    Some(path) => Effects::in_file(path)?,
+                    None => Effects::default(),
+                };
+                start_plain(self.listen, settings, effects).await?
+            }
+            other => return Err(CommandError::UnknownCommand { command: other.into() }),
+        };
+        Ok(standin)
+    }
+
+    fn read_settings<T: DeserializeOwned + Default>(&self) -> Result<T, CommandError> {
+        let Some(path) = &self.settings else { return Ok(T::default()) };
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| CommandError::Unreadable { path: path.clone(), error })?;
+        read_jsonc(&text).map_err(|error| CommandError::Settings { path: path.clone(), error })
+    }
+}
+
+/// Prints at once, so that a process that waits for the text sees it.
+fn print(text: &str) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    out.write_all(text.as_bytes())?;
+    out.flush()
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,18 +2,24 @@
 //! speak the same HTTP protocols, record what they receive and bring faults about on demand.
 
 mod answer;
+mod command;
 mod engine;
 mod expected;
 mod launch;
 mod link;
 mod network;
+mod plain;
 mod platform;
 mod secrets;
+mod weights;
 
+pub use command::run_standin;
 pub use engine::{
     AttemptCounts, EngineFaults, EngineRole, EngineSettings, EngineStats, start_engine,
 };
 pub use expected::{expected_length, expected_token, prefix_hashes, prompt_tokens};
 pub use launch::Standin;
+pub use plain::{Effects, PlainAnswer, PlainFaults, PlainSettings, PlainStats, Side, start_plain};
 pub use platform::{PlatformFaults, PlatformSettings, PlatformStats, RowCounts, start_platform};
 pub use secrets::SecretStats;
+pub use weights::{WeightSettings, WeightStats, start_weights};
--- /dev/null
+++ b/src/standin/plain/mod.rs
@@ -0,0 +1,29 @@
+//! Stand-in for a plain service, such as an order application. It counts effects, so that a
+//! checker sees repeats.
+
+mod effects;
+mod service;
+mod settings;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::standin::Standin;
+use crate::standin::launch::launch;
+
+pub use effects::Effects;
+pub use service::{PlainAnswer, PlainStats};
+pub use settings::{PlainFaults, PlainSettings, Side};
+
+/// Starts a plain service's stand-in that counts in `effects`. Runs on the current `LocalSet`.
+pub async fn start_plain(
+    listen: SocketAddr,
+    settings: PlainSettings,
+    effects: Effects,
+) -> std::io::Result<Standin> {
+    let stop = CancellationToken::new();
+    let service = service::PlainService::new(settings, effects, stop.clone());
+    launch(listen, Rc::new(service), stop).await
+}
--- /dev/null
+++ b/tests/standin/program.rs
@@ -0,0 +1,92 @@
+use std::io::{BufRead, BufReader, Read};
+use std::process::{Child, Command, Stdio};
+
+use almondroad::engine::{Engine, HttpEngine};
+use almondroad::http::HttpClient;
+use almondroad::standin::{EngineFaults, PlainAnswer, PlainFaults, Side};
+use hyper::Method;
+use serde_json::json;
+
+use crate::helpers::*;
+
+fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_almondroad-standin"));
+    command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+/// Starts a stand-in and returns it with the address that it printed.
+fn start(arguments: &[&str]) -> (Child, String) {
+    let mut child = command(arguments).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.as_mut().unwrap()).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening on ").expect(&line).to_string();
+    (child, address)
+}
+
+/// Guards against usage errors that pass for a crash, and against errors without a position.
+#[test]
+fn usage_errors_exit_with_2() {
+    let settings = std::env::temp_dir().join(format!("standin-{}.jsonc", std::process::id()));
+    std::fs::write(&settings, "{\n  // Comment.\n  \"pieces\": \"many\"\n}").unwrap();
+    let path = settings.to_str().unwrap();
+    let cases: [(&[&str], i32, &str); 6] = [
+        (&["--help"], 0, ""),
+        (&["--version"], 0, ""),
+        (&[], 2, "free-standing argument"),
+        (&["nothing"], 2, "unknown command"),
+        (&["engine", "more"], 2, "unexpected argument"),
+        (&["engine", "--settings", path], 2, "line 3, column"),
+    ];
+    for (arguments, status, message) in cases {
+        let output = command(arguments).output().unwrap();
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(status), "{arguments:?}: {error}");
+        assert!(error.contains(message), "{arguments:?}: {error}");
+    }
+    std::fs::remove_file(settings).unwrap();
+}
+
+/// Guards against a process that does not die on demand.
+#[tokio::test]
+async fn an_engine_process_crashes_on_demand() {
+    run(async {
+        let (mut child, address) = start(&["engine", "--listen", "127.0.0.1:0"]);
+        let engine = HttpEngine::new(address.as_str());
+        assert_eq!(engine.held().await, Ok(Vec::new()));
+        let crash = EngineFaults { crash: true, ..EngineFaults::default() };
+        let client = HttpClient::new(address);
+        let _ = client.call::<_, ()>(Method::POST, "/standin/faults", &crash, LIMIT).await;
+        assert_eq!(child.wait().unwrap().code(), Some(1));
+        let mut error = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut error).unwrap();
+        assert!(error.contains("crashed on demand"), "{error}");
+    })
+    .await;
+}
+
+/// Guards against effects that are forgotten in a crash, so that repeats go unseen.
+#[tokio::test]
+async fn effects_in_a_file_outlive_the_process() {
+    run(async {
+        let base = std::env::temp_dir().join(format!("effects-{}", std::process::id()));
+        let (settings, effects) = (base.with_extension("jsonc"), base.with_extension("txt"));
+        std::fs::write(&settings, json!({ "effects_file": effects }).to_string()).unwrap();
+        let arguments = ["plain", "--settings", settings.to_str().unwrap()];
+        let order = json!({"order": "o-1"});
+        let (mut child, address) = start(&arguments);
+        let client = HttpClient::new(address);
+        let crash = PlainFaults { crash: Some(Side::AfterEffect), ..PlainFaults::default() };
+        let () = client.call(Method::POST, "/standin/faults", &crash, LIMIT).await.unwrap();
+        assert!(client.call::<_, ()>(Method::POST, "/", &order, LIMIT).await.is_err());
+        assert_eq!(child.wait().unwrap().code(), Some(1));
+        let (mut child, address) = start(&arguments);
+        let answer = HttpClient::new(address).call(Method::POST, "/", &order, LIMIT).await;
+        child.kill().unwrap();
+        child.wait().unwrap();
+        std::fs::remove_file(settings).unwrap();
+        std::fs::remove_file(effects).unwrap();
+        assert_eq!(answer, Ok(PlainAnswer { effect: "o-1".into(), count: 2 }));
+    })
+    .await;
+}
