Keep the start of a long prefix in the stand-in's cache

A prompt longer than the cache evicted its own first blocks, so that it never had a hit again. Blocks are now kept by their depth, the start longest. The first step after an idle time no longer makes up for timer errors.

--- a/src/standin/engine/decode.rs
+++ b/src/standin/engine/decode.rs
@@ -20,6 +20,9 @@
 use crate::standin::launch::spawn_until;
 use crate::units::AttemptId;
 
+/// Largest delay of a timer that the next step makes up for.
+const TIMER_ERROR: Duration = Duration::from_millis(2);
+
 fn unknown_attempt() -> Refusal {
     Refusal::new(StatusCode::NOT_FOUND, "unknown_attempt")
 }
@@ -164,12 +167,13 @@
             let running = self.state.borrow().running();
             if running == 0 {
                 self.decode_ready.notified().await;
+                next_at = Instant::now();
                 continue;
             }
             let slowness = self.state.borrow_mut().slowness(&self.settings);
             let time = self.settings.token_time(running).mul_f64(slowness);
             // Rounding of the timer does not add up over the steps.
-            next_at = next_at.max(Instant::now() - Duration::from_millis(2)) + time;
+            next_at = next_at.max(Instant::now() - TIMER_ERROR) + time;
             tokio::time::sleep_until(next_at).await;
             self.network.thawed().await;
             self.step();
--- a/src/standin/engine/prefix_cache.rs
+++ b/src/standin/engine/prefix_cache.rs
@@ -27,13 +27,12 @@
         let hashes = prefix_hashes(scope, prompt, settings.cache_block_tokens);
         let mut blocks = self.scopes.remove(scope).unwrap_or_default();
         let cached = hashes.iter().take_while(|hash| blocks.contains(hash)).count();
-        for (index, hash) in hashes.iter().enumerate() {
-            match index < cached {
-                true => blocks.retain(|block| block != hash),
-                false => self.record(settings, scope, *hash, true),
-            }
-            blocks.push_back(*hash);
+        for hash in &hashes[cached..] {
+            self.record(settings, scope, *hash, true);
         }
+        blocks.retain(|block| !hashes.contains(block));
+        // A long prefix is of no use without its start, so its end is evicted first.
+        blocks.extend(hashes.iter().rev());
         while blocks.len() > settings.cache_blocks_per_scope {
             if let Some(hash) = blocks.pop_front() {
                 self.record(settings, scope, hash, false);
--- a/tests/standin/engine.rs
+++ b/tests/standin/engine.rs
@@ -4,11 +4,11 @@
     DecodeEvent, Engine, EngineError, Order, OrderRequest, PrefillRequest, TokenStream,
 };
 use almondroad::http::HttpClient;
-use almondroad::standin::{EngineSettings, EngineStats, expected_length};
+use almondroad::standin::{EngineFaults, EngineSettings, EngineStats, expected_length};
 use almondroad::units::{Fencing, Tokens};
 use bytes::Bytes;
 use hyper::Method;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::helpers::*;
 
@@ -111,7 +111,8 @@
 #[tokio::test]
 async fn prefixes_are_cached_for_each_scope_and_reported_late() {
     run(async {
-        let settings = EngineSettings { event_delay_ms: 300, load_lag_ms: 300, ..fast() };
+        let settings = EngineSettings { event_delay_ms: 300, event_gap_every: 3, ..fast() };
+        let settings = EngineSettings { load_lag_ms: 300, ..settings };
         let (_standin, client) = engine(settings).await;
         let prompt = "word ".repeat(40);
         assert_eq!(client.prefill(&prefill_of(1, &prompt)).await.unwrap().cached_tokens, Tokens(0));
@@ -122,7 +123,8 @@
         assert_eq!(client.prefill(&other).await.unwrap().cached_tokens, Tokens(0));
         sleep(Duration::from_millis(400)).await;
         let events = client.cache_events(1).await.unwrap();
-        assert_eq!((events.events.len(), events.last_sequence), (3, 4));
+        let sequences: Vec<u64> = events.events.iter().map(|event| event.sequence).collect();
+        assert_eq!((sequences, events.last_sequence), (vec![2, 4], 4));
         let load = client.load().await.unwrap();
         assert!(load.age_ms >= 300, "{load:?}");
     })
@@ -149,17 +151,44 @@
     .await;
 }
 
-/// Guards against a caller's disconnect that an engine with this setting does not notice, also
-/// during the transfer.
+/// Guards against a caller's disconnect that an engine with this setting does not notice, during
+/// the transfer or the decode.
 #[tokio::test]
 async fn an_engine_can_cancel_on_disconnect() {
     run(async {
-        let settings = EngineSettings { cancel_on_disconnect: true, token_base_ms: 50.0, ..fast() };
-        let (standin, client) = engine(settings).await;
-        let source = prefill(&standin, 1, "a b").await;
-        drop(client.decode(&decode_of(1, "a b", Some(source))).await.unwrap());
-        sleep(Duration::from_millis(200)).await;
-        assert!(client.held().await.unwrap().is_empty());
+        for stall_transfers in [true, false] {
+            let settings = EngineSettings { transfer_timeout_ms: 5000, ..slow() };
+            let settings = EngineSettings { cancel_on_disconnect: true, ..settings };
+            let (standin, client) = engine(settings).await;
+            let (first, _) = engine(fast()).await;
+            set_faults(&first, &EngineFaults { stall_transfers, ..EngineFaults::default() }).await;
+            let source = prefill(&first, 1, "a b").await;
+            let decode = decode_of(1, "a b", Some(source));
+            let answer = timeout(Duration::from_millis(200), client.decode(&decode)).await;
+            assert_eq!(answer.is_err(), stall_transfers);
+            assert_eq!(stats::<EngineStats>(&standin).await.attempts[&attempt(1)].decodes, 1);
+            drop(answer);
+            sleep(Duration::from_millis(200)).await;
+            assert!(client.held().await.unwrap().is_empty());
+        }
+    })
+    .await;
+}
+
+fn slow() -> EngineSettings {
+    EngineSettings { token_base_ms: 50.0, ..fast() }
+}
+
+/// Guards against a long prompt that evicts the start of its own prefix.
+#[tokio::test]
+async fn a_full_cache_keeps_the_start_of_a_prefix() {
+    run(async {
+        let settings = EngineSettings { cache_blocks_per_scope: 2, ..fast() };
+        let (_standin, client) = engine(settings).await;
+        let prompt = "word ".repeat(100);
+        client.prefill(&prefill_of(1, &prompt)).await.unwrap();
+        let again = client.prefill(&prefill_of(2, &prompt)).await.unwrap();
+        assert_eq!(again.cached_tokens, Tokens(32));
     })
     .await;
 }
