Cover crossed events of a live attempt and each command

A trial that crossed a live attempt's event under the receiver's own id passed all tests, since only made-up attempts were covered.

The crossing test now runs a second attempt and fails in that trial.

--- a/tests/standin/engine_faults.rs
+++ b/tests/standin/engine_faults.rs
@@ -103,12 +103,16 @@
         let (standin, client) = engine(fast()).await;
         let faults = EngineFaults { cross_every: 4, duplicate_every: 3, ..EngineFaults::default() };
         set_faults(&standin, &faults).await;
+        let other = prefill(&standin, 2, "other").await;
+        let other = decode_of(2, "other", Some(other));
+        let long = DecodeRequest { max_output_tokens: Tokens(1000), ..other };
+        let _other = client.decode(&long).await.unwrap();
         let source = prefill(&standin, 1, "c").await;
         let mut stream = client.decode(&decode_of(1, "c", Some(source))).await.unwrap();
         let (mut crossed, mut repeated, mut next) = (0, 0, 0);
         while let Some(event) = stream.next().await.unwrap() {
             match event {
-                event if *event.attempt() != attempt(1) => crossed += 1,
+                event if *event.attempt() == attempt(2) => crossed += 1,
                 DecodeEvent::Token { index, .. } if index < next => repeated += 1,
                 DecodeEvent::Token { index, text, .. } => {
                     assert_eq!(text, expected_token("c", index));
--- a/tests/standin/program.rs
+++ b/tests/standin/program.rs
@@ -4,7 +4,8 @@
 use almondroad::engine::{Engine, HttpEngine};
 use almondroad::http::HttpClient;
 use almondroad::standin::{EngineFaults, PlainAnswer, PlainFaults, Side};
-use hyper::Method;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
 use serde_json::json;
 
 use crate::helpers::*;
@@ -47,6 +48,29 @@
     std::fs::remove_file(settings).unwrap();
 }
 
+/// Guards against a command that starts another stand-in or none.
+#[tokio::test]
+async fn each_command_starts_its_standin() {
+    run(async {
+        let commands = [
+            ("engine", "/engine/held"),
+            ("platform", "/instances"),
+            ("plain", "/any"),
+            ("weights", "/weights/m"),
+        ];
+        for (name, path) in commands {
+            let (mut child, address) = start(&[name]);
+            let client = HttpClient::new(address);
+            let request = client.request(Method::GET, path, Bytes::new()).unwrap();
+            let status = client.send(request, LIMIT).await.map(|response| response.status());
+            child.kill().unwrap();
+            child.wait().unwrap();
+            assert_eq!(status, Ok(StatusCode::OK), "{name}");
+        }
+    })
+    .await;
+}
+
 /// Guards against a process that does not die on demand.
 #[tokio::test]
 async fn an_engine_process_crashes_on_demand() {
