--- /dev/null
+++ b/src/bench/bench_error.rs
@@ -0,0 +1,38 @@
+use std::io;
+use std::path::PathBuf;
+
+use derive_more::{Display, Error, From};
+
+use crate::http::HttpError;
+
+/// Why an experiment could not run.
+#[derive(Debug, Display, Error, From)]
+pub enum BenchError {
+    #[display("{_0}")]
+    Usage(pico_args::Error),
+    #[display("no experiment is named {name}; `almondroad-bench list` names them")]
+    #[from(ignore)]
+    UnknownExperiment { name: String },
+    #[display("process {name}: {source}")]
+    #[from(ignore)]
+    Process { name: String, source: io::Error },
+    #[display("process {name} ended or was not ready in time")]
+    #[from(ignore)]
+    NotReady { name: String },
+    #[display("cannot write {}: {source}", path.display())]
+    #[from(ignore)]
+    Write { path: PathBuf, source: io::Error },
+    #[display("the fleet did not become ready: {waited_for}")]
+    #[from(ignore)]
+    FleetNotReady { waited_for: &'static str },
+    #[display("{_0}")]
+    Http(HttpError),
+    #[display("runtime: {_0}")]
+    Runtime(io::Error),
+    #[display("plot: {reason}")]
+    #[from(ignore)]
+    Plot { reason: String },
+    #[display("a bound was not met")]
+    #[from(ignore)]
+    BoundMissed,
+}
--- /dev/null
+++ b/src/bench/call_record.rs
@@ -0,0 +1,49 @@
+use smol_str::SmolStr;
+
+/// What a caller saw of one request.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    pub organisation: SmolStr,
+    pub prompt: String,
+    pub max_tokens: u64,
+    /// Since the experiment began.
+    pub sent_at_ms: u64,
+    pub ended_at_ms: u64,
+    pub ending: Ending,
+    pub first_token_ms: Option<u64>,
+    /// Longest and summed time between tokens.
+    pub longest_gap_ms: u64,
+    pub decode_ms: u64,
+    pub text: String,
+    pub output_tokens: u64,
+    pub prompt_tokens: u64,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The answer came with its regular end.
+    Complete,
+    /// Refused or failed with an error answer.
+    Refused { status: u16, code: SmolStr, outcome: SmolStr },
+    /// The stream ended with an error after it had begun.
+    Cut { code: SmolStr },
+    /// No connection, or it broke before an answer.
+    NoAnswer,
+    /// The caller itself went away.
+    Cancelled,
+}
+
+impl CallRecord {
+    pub fn is_complete(&self) -> bool {
+        self.ending == Ending::Complete
+    }
+
+    /// Mean time between tokens.
+    pub fn mean_gap_ms(&self) -> f64 {
+        if self.output_tokens < 2 {
+            return 0.0;
+        }
+        self.decode_ms as f64 / (self.output_tokens - 1) as f64
+    }
+}
--- /dev/null
+++ b/src/bench/fleet.rs
@@ -0,0 +1,358 @@
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hyper::Method;
+use serde::Serialize;
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::bench::fleet_document::{EndpointKind, KEY_MARKER, MODEL};
+use crate::bench::{BenchError, Deployment, FleetDocument, PlacedEndpoint, Process, Programs};
+use crate::http::HttpClient;
+use crate::standin::{EngineRole, EngineSettings, PlainSettings, PlatformSettings};
+
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const READY_POLL: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Settings of a fleet of processes on loopback.
+#[derive(Clone, Debug)]
+pub struct FleetBuilder {
+    programs: Programs,
+    deployment: Deployment,
+    gateways: usize,
+    engines: (usize, usize),
+    plain_services: usize,
+    slices: u32,
+    slots: u32,
+    engine: EngineSettings,
+    platform: PlatformSettings,
+    plain: PlainSettings,
+    rates: Vec<(u64, u64)>,
+    log_level: &'static str,
+}
+
+/// A running fleet. Dropping it kills its processes and removes its files.
+pub struct Fleet {
+    pub platform: Process,
+    pub prefill: Vec<Process>,
+    pub decode: Vec<Process>,
+    pub plain: Vec<Process>,
+    pub gateways: Vec<Process>,
+    pub document: FleetDocument,
+    builder: FleetBuilder,
+    directory: PathBuf,
+}
+
+impl FleetBuilder {
+    pub fn new(programs: Programs, deployment: Deployment) -> FleetBuilder {
+        FleetBuilder {
+            programs,
+            deployment,
+            gateways: deployment.gateways(),
+            engines: deployment.engines(),
+            plain_services: deployment.plain_services(),
+            slices: 3,
+            slots: 20,
+            engine: engine_settings(),
+            platform: PlatformSettings::default(),
+            plain: PlainSettings { key_marker: Some(KEY_MARKER.into()), ..Default::default() },
+            rates: vec![(1_000_000, 4_000_000); deployment.organisations().len()],
+            log_level: "warn",
+        }
+    }
+
+    pub fn gateways(mut self, gateways: usize) -> FleetBuilder {
+        self.gateways = gateways;
+        self
+    }
+
+    /// Number of prefill and of decode endpoints.
+    pub fn engines(mut self, prefill: usize, decode: usize) -> FleetBuilder {
+        self.engines = (prefill, decode);
+        self
+    }
+
+    pub fn plain_services(mut self, plain_services: usize) -> FleetBuilder {
+        self.plain_services = plain_services;
+        self
+    }
+
+    pub fn slices(mut self, slices: u32) -> FleetBuilder {
+        self.slices = slices;
+        self
+    }
+
+    pub fn slots(mut self, slots: u32) -> FleetBuilder {
+        self.slots = slots;
+        self
+    }
+
+    pub fn engine(mut self, change: impl FnOnce(&mut EngineSettings)) -> FleetBuilder {
+        change(&mut self.engine);
+        self
+    }
+
+    /// Rate and burst of each organisation, in the deployment's order.
+    pub fn rates(mut self, rates: Vec<(u64, u64)>) -> FleetBuilder {
+        self.rates = rates;
+        self
+    }
+
+    pub fn log_level(mut self, level: &'static str) -> FleetBuilder {
+        self.log_level = level;
+        self
+    }
+
+    /// Starts all processes and waits until every gateway serves.
+    pub async fn start(self) -> Result<Fleet, BenchError> {
+        let directory = std::env::temp_dir().join(format!("almondroad-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&directory)
+            .map_err(|source| BenchError::Write { path: directory.clone(), source })?;
+        let started = self.clone().start_in(directory.clone()).await;
+        if started.is_err() && std::env::var_os("ALMONDROAD_KEEP_FILES").is_none() {
+            let _ = std::fs::remove_dir_all(&directory);
+        }
+        started
+    }
+
+    async fn start_in(self, directory: PathBuf) -> Result<Fleet, BenchError> {
+        let start = Starter { builder: &self, directory: &directory };
+        let platform = start.standin("platform", "platform", &self.platform).await?;
+        let mut endpoints = Vec::new();
+        let mut prefill = Vec::new();
+        for i in 0..self.engines.0 {
+            let kind = EndpointKind::Prefill { slice: i as u32 % self.slices };
+            prefill.push(start.engine("prefill", i, kind, &mut endpoints).await?);
+        }
+        let mut decode = Vec::new();
+        for i in 0..self.engines.1 {
+            let kind = EndpointKind::Decode { slice: i as u32 % self.slices };
+            decode.push(start.engine("decode", i, kind, &mut endpoints).await?);
+        }
+        let mut plain = Vec::new();
+        for i in 0..self.plain_services {
+            let name = format_smolstr!("orders-{i}");
+            let process = start.standin(&name, "plain", &self.plain).await?;
+            endpoints.push(self.place(name, &process, i, EndpointKind::Plain));
+            plain.push(process);
+        }
+        let document = self.document(endpoints);
+        write(&directory.join("document.jsonc"), &document.text())?;
+        let mut gateways = Vec::new();
+        for i in 0..self.gateways {
+            gateways.push(start.gateway(i, platform.address()).await?);
+        }
+        let fleet = Fleet {
+            platform,
+            prefill,
+            decode,
+            plain,
+            gateways,
+            document,
+            builder: self.clone(),
+            directory: directory.clone(),
+        };
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Spreads endpoints of each kind over the slices and then over the zones.
+    fn place(
+        &self,
+        name: SmolStr,
+        process: &Process,
+        index: usize,
+        kind: EndpointKind,
+    ) -> PlacedEndpoint {
+        let zone = match kind {
+            EndpointKind::Plain => index,
+            _ => index + index / self.slices as usize,
+        };
+        let zones = self.deployment.zones();
+        PlacedEndpoint {
+            name,
+            address: process.address().clone(),
+            zone: zones[zone % zones.len()].into(),
+            kind,
+        }
+    }
+
+    fn document(&self, endpoints: Vec<PlacedEndpoint>) -> FleetDocument {
+        FleetDocument {
+            deployment: self.deployment,
+            endpoints,
+            slots: self.slots,
+            pieces: self.engine.pieces,
+            tokens_per_piece: self.engine.tokens_per_piece,
+            prefill_us_per_token: (self.engine.prefill_per_token_ms * 1000.0) as u64,
+            kv_bytes_per_token: self.engine.kv_bytes_per_token,
+            link_bytes_per_s: self.engine.link_bytes_per_s,
+            rates: self.rates.clone(),
+            checks_fencing: self.engine.checks_fencing,
+        }
+    }
+}
+
+/// Engines whose prefill of a prompt of a thousand tokens costs as much as some fifty output
+/// tokens of a lightly loaded engine, and that stay under the target between tokens when full.
+fn engine_settings() -> EngineSettings {
+    EngineSettings {
+        pieces: 1000,
+        tokens_per_piece: 64,
+        slots: 20,
+        token_base_ms: 20.0,
+        token_per_running_ms: 1.0,
+        prefill_base_ms: 5.0,
+        prefill_per_token_ms: 0.1,
+        kv_bytes_per_token: 100_000,
+        link_bytes_per_s: 5_000_000_000,
+        key_marker: Some(KEY_MARKER.into()),
+        cold_ms: 0,
+        ..EngineSettings::default()
+    }
+}
+
+struct Starter<'a> {
+    builder: &'a FleetBuilder,
+    directory: &'a PathBuf,
+}
+
+impl Starter<'_> {
+    async fn standin(
+        &self,
+        name: &str,
+        command: &str,
+        settings: &impl Serialize,
+    ) -> Result<Process, BenchError> {
+        let file = self.directory.join(format!("{name}.json"));
+        write(&file, &serde_json::to_string_pretty(settings).unwrap_or_default())?;
+        let arguments: Vec<OsString> = vec![command.into(), "--settings".into(), file.into()];
+        let log = self.directory.join(format!("{name}.log"));
+        Process::start(name, &self.builder.programs.standin, arguments, &log).await
+    }
+
+    async fn engine(
+        &self,
+        role: &str,
+        index: usize,
+        kind: EndpointKind,
+        endpoints: &mut Vec<PlacedEndpoint>,
+    ) -> Result<Process, BenchError> {
+        let name = format_smolstr!("{role}-{index}");
+        let settings = EngineSettings {
+            role: match kind {
+                EndpointKind::Prefill { .. } => EngineRole::Prefill,
+                _ => EngineRole::Decode,
+            },
+            models: vec![MODEL.into()],
+            slots: self.builder.slots,
+            ..self.builder.engine.clone()
+        };
+        let process = self.standin(&name, "engine", &settings).await?;
+        endpoints.push(self.builder.place(name, &process, index, kind));
+        Ok(process)
+    }
+
+    async fn gateway(&self, index: usize, platform: &SmolStr) -> Result<Process, BenchError> {
+        let deployment = self.builder.deployment;
+        let zones = deployment.zones();
+        let name = format!("gateway-{index}");
+        let settings = json!({
+            "instance": name,
+            "region": deployment.region(),
+            "zone": zones[index % zones.len()],
+            "platform_address": platform,
+            "first_document_file": self.directory.join("document.jsonc"),
+            "log": { "level": self.builder.log_level },
+        });
+        let file = self.directory.join(format!("{name}.json"));
+        write(&file, &settings.to_string())?;
+        let log = self.directory.join(format!("{name}.log"));
+        let arguments: Vec<OsString> = vec!["--settings".into(), file.into()];
+        Process::start(&name, &self.builder.programs.gateway, arguments, &log).await
+    }
+}
+
+impl Fleet {
+    /// Addresses of the gateways for callers.
+    pub fn addresses(&self) -> Vec<SmolStr> {
+        self.gateways.iter().map(|gateway| gateway.address().clone()).collect()
+    }
+
+    pub fn directory(&self) -> &PathBuf {
+        &self.directory
+    }
+
+    /// Starts another process under the name of a gateway that has ended, as the platform does
+    /// when it replaces an instance.
+    pub async fn replace_gateway(&mut self, index: usize) -> Result<(), BenchError> {
+        let start = Starter { builder: &self.builder, directory: &self.directory };
+        self.gateways[index] = start.gateway(index, self.platform.address()).await?;
+        Ok(())
+    }
+
+    /// Sets the faults of a stand-in.
+    pub async fn set_faults(
+        &self,
+        standin: &Process,
+        faults: &impl Serialize,
+    ) -> Result<(), BenchError> {
+        let client = HttpClient::new(standin.address().clone());
+        let path = "/standin/faults";
+        let _: Value = client.call(Method::POST, path, faults, CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// What a stand-in saw.
+    pub async fn stats<T: serde::de::DeserializeOwned>(
+        &self,
+        standin: &Process,
+    ) -> Result<T, BenchError> {
+        let client = HttpClient::new(standin.address().clone());
+        Ok(client.call(Method::GET, "/standin/stats", &(), CALL_TIMEOUT).await?)
+    }
+
+    pub async fn status(&self, gateway: &SmolStr) -> Result<Value, BenchError> {
+        let client = HttpClient::new(gateway.clone());
+        Ok(client.call(Method::GET, "/admin/v1/status", &(), CALL_TIMEOUT).await?)
+    }
+
+    /// Waits until every gateway has the document in force, knows all others, and all shards
+    /// have holders.
+    async fn wait_until_ready(&self) -> Result<(), BenchError> {
+        let ready = async {
+            for gateway in &self.gateways {
+                while !self.is_ready(gateway.address()).await {
+                    tokio::time::sleep(READY_POLL).await;
+                }
+            }
+        };
+        let waited_for = "every gateway serving with all shards held";
+        tokio::time::timeout(READY_TIMEOUT, ready)
+            .await
+            .map_err(|_| BenchError::FleetNotReady { waited_for })
+    }
+
+    async fn is_ready(&self, gateway: &SmolStr) -> bool {
+        let Ok(status) = self.status(gateway).await else { return false };
+        let count = |member: &str| status[member].as_array().map_or(0, Vec::len);
+        let shards = crate::gateway::BUDGET_SHARDS as usize + self.builder.slices as usize;
+        status["is_confirmed"] == true
+            && count("instances") == self.gateways.len()
+            && count("holders") >= shards
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::env::var_os("ALMONDROAD_KEEP_FILES").is_none() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn write(path: &PathBuf, text: &str) -> Result<(), BenchError> {
+    std::fs::write(path, text).map_err(|source| BenchError::Write { path: path.clone(), source })
+}
--- /dev/null
+++ b/src/bench/process.rs
@@ -0,0 +1,94 @@
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use smol_str::SmolStr;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdout, Command};
+
+use crate::bench::BenchError;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const READY_PREFIX: &str = "listening on ";
+
+/// A process of the fleet. Dropping it kills it.
+pub struct Process {
+    name: SmolStr,
+    address: SmolStr,
+    child: Child,
+    _stdout: BufReader<ChildStdout>,
+}
+
+impl Process {
+    /// Starts a program and waits until it says where it listens.
+    pub async fn start(
+        name: &str,
+        program: &[PathBuf],
+        arguments: Vec<OsString>,
+        log_file: &Path,
+    ) -> Result<Process, BenchError> {
+        let failed = |source| BenchError::Process { name: name.into(), source };
+        let log = std::fs::File::options().create(true).append(true).open(log_file);
+        let (first, rest) = program.split_first().ok_or(BenchError::NotReady { name: name.into() })?;
+        let mut child = Command::new(first)
+            .args(rest)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log.map_err(failed)?)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(failed)?;
+        let not_ready = || BenchError::NotReady { name: name.into() };
+        let mut stdout = BufReader::new(child.stdout.take().ok_or_else(not_ready)?);
+        let mut line = String::new();
+        let read = tokio::time::timeout(READY_TIMEOUT, stdout.read_line(&mut line)).await;
+        read.map_err(|_| not_ready())?.map_err(failed)?;
+        let address = line.strip_prefix(READY_PREFIX).and_then(|rest| rest.split_whitespace().next());
+        let address = address.ok_or_else(not_ready)?.into();
+        Ok(Process { name: name.into(), address, child, _stdout: stdout })
+    }
+
+    pub fn name(&self) -> &SmolStr {
+        &self.name
+    }
+
+    /// Address for callers.
+    pub fn address(&self) -> &SmolStr {
+        &self.address
+    }
+
+    pub fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    /// Freezes the process until `resume`.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end and returns the exit code, if there is one.
+    pub async fn wait(&mut self) -> Option<i32> {
+        self.child.wait().await.ok()?.code()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.id().and_then(|id| Pid::from_raw(id as i32));
+        if let Some(pid) = pid
+            && let Err(error) = kill_process(pid, signal)
+        {
+            log::warn!(target: "bench", "signal to {} failed: {error}", self.name);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/almondroad-bench.rs
@@ -0,0 +1,97 @@
+//! Load generation and experiments on loopback.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use almondroad::bench::{BenchError, demo};
+use almondroad::gateway;
+use almondroad::settings::{GatewaySettings, load_settings};
+use pico_args::Arguments;
+
+const USAGE: &str = "\
+Run experiments with a fleet of processes on loopback.
+
+Usage:
+    almondroad-bench demo
+
+Commands:
+    demo    send one request through separate prefill and decode endpoints
+
+Options:
+    -h, --help    print this text
+    --version     print the version
+
+Exit codes: 0 all bounds met, 1 failed or a bound missed, 2 usage.
+";
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--version") {
+        println!("almondroad-bench {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let command = arguments.subcommand();
+    match command.as_ref().map(|command| command.as_deref()) {
+        Ok(Some("demo")) => run(demo::run()),
+        Ok(Some("process")) => run_process(arguments),
+        _ if arguments.contains(["-h", "--help"]) => {
+            print!("{USAGE}");
+            ExitCode::SUCCESS
+        }
+        _ => {
+            eprint!("{USAGE}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(experiment: impl Future<Output = Result<(), BenchError>>) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&BenchError::Runtime(error)),
+    };
+    match tokio::task::LocalSet::new().block_on(&runtime, experiment) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+/// Runs one process of a fleet: the gateway or a stand-in.
+fn run_process(mut arguments: Arguments) -> ExitCode {
+    match arguments.subcommand().ok().flatten().as_deref() {
+        Some("gateway") => run_gateway(arguments),
+        Some("standin") => almondroad::standin::run_standin(arguments.finish()),
+        _ => ExitCode::from(2),
+    }
+}
+
+fn run_gateway(mut arguments: Arguments) -> ExitCode {
+    let parse = |path: &std::ffi::OsStr| Ok::<PathBuf, BenchError>(OsString::from(path).into());
+    let path = match arguments.value_from_os_str("--settings", parse) {
+        Ok(path) => path,
+        Err(error) => return fail(&BenchError::Usage(error)),
+    };
+    let settings: GatewaySettings = match load_settings(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("almondroad-gateway: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match gateway::run_process(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("almondroad-gateway: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn fail(error: &BenchError) -> ExitCode {
+    eprintln!("almondroad-bench: {error}");
+    match error {
+        BenchError::Usage(_) | BenchError::UnknownExperiment { .. } => ExitCode::from(2),
+        _ => ExitCode::FAILURE,
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod engine_trait;
 mod http_engine;
 mod messages;
+mod prefix_hashes;
 
 pub use engine_error::EngineError;
 pub use engine_trait::{Engine, TokenStream};
@@ -12,3 +13,4 @@
     CacheEvent, CacheEvents, CancelRequest, DecodeEvent, DecodeRequest, HeldAttempt, LoadReport,
     Order, OrderRequest, PrefillRequest, PrefillResult, PrefillSource,
 };
+pub use prefix_hashes::prefix_hashes;
--- /dev/null
+++ b/src/gateway/gateway_error.rs
@@ -0,0 +1,20 @@
+use std::io;
+
+use derive_more::{Display, Error, From};
+
+use crate::settings::SettingsError;
+
+/// Why the gateway could not run.
+#[derive(Debug, Display, Error, From)]
+pub enum GatewayError {
+    #[display("{_0}")]
+    Settings(SettingsError),
+    #[display("cannot listen on {address}: {source}")]
+    #[from(ignore)]
+    Listen { address: std::net::SocketAddr, source: io::Error },
+    #[display("runtime cannot be set up: {_0}")]
+    #[from(ignore)]
+    Runtime(io::Error),
+    #[display("metrics cannot be set up: {_0}")]
+    Metrics(metrics_exporter_prometheus::BuildError),
+}
--- /dev/null
+++ b/src/gateway/handler.rs
@@ -0,0 +1,172 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response};
+
+use crate::config::{Repeat, Route, Target};
+use crate::gateway::addresses::Addresses;
+use crate::gateway::status::Status;
+use crate::gateway::{GatewayMetrics, Node};
+use crate::http::{Handler, ResponseBody};
+use crate::once::{
+    IDEMPOTENCY_HEADER, PlainRequest, call_at_most_once, call_idempotent,
+};
+use crate::serve::{
+    CallError, CallerKey, complete, error_response, json_response, read_body,
+};
+use crate::units::OrganisationId;
+
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+
+/// Answers callers and operators.
+pub struct GatewayHandler {
+    node: Rc<Node>,
+}
+
+impl GatewayHandler {
+    pub fn new(node: Rc<Node>) -> GatewayHandler {
+        GatewayHandler { node }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<ResponseBody>, CallError> {
+        let path = request.uri().path();
+        match path {
+            "/healthz" => Ok(json_response(&"ok")),
+            "/metrics" => Ok(self.metrics()),
+            "/v1/addresses" => {
+                only(&Method::GET, &request)?;
+                let zone = request.uri().query().and_then(zone_parameter);
+                Ok(json_response(&Addresses::of_fleet(&self.node, zone.as_deref())))
+            }
+            "/admin/v1/status" => {
+                only(&Method::GET, &request)?;
+                Ok(json_response(&Status::of(&self.node)))
+            }
+            _ if path.starts_with("/admin/") => {
+                let body_limit = self.node.settings.max_body_bytes;
+                let (head, body) = request.into_parts();
+                let body = read_body(Request::from_parts(head.clone(), body), body_limit).await?;
+                Ok(crate::config::admin::answer(&self.node.configuration, &head, body).await)
+            }
+            _ => self.route(request).await,
+        }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result<Response<ResponseBody>, CallError> {
+        let path = request.uri().path().to_owned();
+        let current = self.node.configuration.current();
+        let Some(route) = find_route(&current.document.routes, &path) else {
+            return Err(CallError::UnknownRoute { path: path.into() });
+        };
+        let key = CallerKey::find(request.headers(), request.uri());
+        let organisation = self.authenticate(route, key.as_ref())?;
+        match (&route.target, organisation) {
+            (Target::Models, Some(organisation)) => {
+                only(&Method::POST, &request)?;
+                complete(&self.node, route, organisation, request).await
+            }
+            (Target::Models, None) => Err(CallError::MissingKey),
+            (Target::Service { service, repeat }, organisation) => {
+                let idempotency_key = idempotency_key(&request)?;
+                let (head, body) = request.into_parts();
+                let max_body_bytes = self.node.settings.max_body_bytes;
+                let request = Request::from_parts(head.clone(), body);
+                let body = read_body(request, max_body_bytes).await?;
+                let plain =
+                    PlainRequest::new(head.method, &head.uri, &head.headers, body, key.as_ref());
+                let answer = match (repeat, organisation, idempotency_key) {
+                    (Repeat::Idempotent, ..) => call_idempotent(&self.node, service, &plain).await?,
+                    (Repeat::AtMostOnce, None, _) => return Err(CallError::MissingKey),
+                    (Repeat::AtMostOnce, _, None) => return Err(CallError::MissingIdempotencyKey),
+                    (Repeat::AtMostOnce, Some(organisation), Some(idempotency_key)) => {
+                        let in_flight = self.node.in_flight.enter();
+                        // The call goes on if its caller leaves, so that its answer is stored.
+                        let (node, service) = (Rc::clone(&self.node), service.clone());
+                        let call = tokio::task::spawn_local(async move {
+                            let _in_flight = in_flight;
+                            call_at_most_once(
+                                &node, &organisation, &service, &idempotency_key, &plain,
+                            )
+                            .await
+                        });
+                        call.await.unwrap_or(Err(CallError::CallUnresolved))?
+                    }
+                };
+                Ok(answer.into_response())
+            }
+        }
+    }
+
+    /// The organisation of the caller's key; `None` on an open route without a known key.
+    fn authenticate(
+        &self,
+        route: &Route,
+        key: Option<&CallerKey>,
+    ) -> Result<Option<OrganisationId>, CallError> {
+        if !self.node.configuration.is_confirmed() && !route.open {
+            return Err(CallError::StaleConfiguration);
+        }
+        let current = self.node.configuration.current();
+        let organisation = key.and_then(|key| current.organisation_of(&key.hash()).cloned());
+        match (organisation, key) {
+            (Some(organisation), _) => Ok(Some(organisation)),
+            (None, _) if route.open => Ok(None),
+            (None, Some(_)) => Err(CallError::UnknownKey),
+            (None, None) => Err(CallError::MissingKey),
+        }
+    }
+
+    fn metrics(&self) -> Response<ResponseBody> {
+        GatewayMetrics::note_state(&self.node);
+        let mut response = Response::new(ResponseBody::full(self.node.metrics.render()));
+        let text = HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(CONTENT_TYPE, text);
+        response
+    }
+}
+
+impl Handler for GatewayHandler {
+    async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<ResponseBody> {
+        match self.answer(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                self.node.metrics.note_refusal(&error);
+                error_response(&error)
+            }
+        }
+    }
+}
+
+/// The route with the longest path that is the request's path or a parent of it.
+fn find_route<'a>(routes: &'a [Route], path: &str) -> Option<&'a Route> {
+    let matches = |route: &&Route| {
+        let parent = route.path.trim_end_matches('/');
+        path.strip_prefix(parent).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    };
+    routes.iter().filter(matches).max_by_key(|route| route.path.len())
+}
+
+fn only(method: &Method, request: &Request<Incoming>) -> Result<(), CallError> {
+    if request.method() == method {
+        return Ok(());
+    }
+    Err(CallError::WrongMethod { method: request.method().as_str().into() })
+}
+
+fn idempotency_key(request: &Request<Incoming>) -> Result<Option<String>, CallError> {
+    let Some(value) = request.headers().get(IDEMPOTENCY_HEADER) else { return Ok(None) };
+    let bad = || CallError::BadHeader { header: IDEMPOTENCY_HEADER };
+    let text = value.to_str().map_err(|_| bad())?;
+    if text.is_empty() || text.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        return Err(bad());
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn zone_parameter(query: &str) -> Option<String> {
+    form_urlencoded::parse(query.as_bytes())
+        .find(|(name, _)| name == "zone")
+        .map(|(_, value)| value.into_owned())
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,30 @@
+//! The entry instance: puts the parts together and answers callers, peers and operators.
+
+mod addresses;
+mod engines;
+mod gateway_error;
+mod gateway_metrics;
+mod handler;
+mod heartbeats;
+mod node;
+mod node_draws;
+mod node_peers;
+mod ownership;
+mod peer_versions;
+mod process;
+mod service;
+mod start;
+mod status;
+mod stop;
+
+pub use engines::Engines;
+pub use gateway_error::GatewayError;
+pub use gateway_metrics::GatewayMetrics;
+pub use handler::GatewayHandler;
+pub use node::{BUDGET_SHARDS, Node};
+pub use node_draws::NodeDraws;
+pub use node_peers::NodePeers;
+pub use peer_versions::PeerVersions;
+pub use process::run_process;
+pub use start::{RunningGateway, start};
+pub use stop::stop;
--- /dev/null
+++ b/src/gateway/node.rs
@@ -0,0 +1,91 @@
+use std::rc::Rc;
+
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use crate::budget::{Allowances, Budgets, RequestClaims};
+use crate::clock::BootClock;
+use crate::config::{Configuration, Endpoint, ServiceState};
+use crate::engine::HttpEngine;
+use crate::gateway::{Engines, GatewayMetrics, NodeDraws, NodePeers, PeerVersions};
+use crate::http::HttpClient;
+use crate::lease::Leases;
+use crate::once::ServiceLatency;
+use crate::peer::{Membership, Peers};
+use crate::platform::HttpPlatform;
+use crate::pool::{EngineFactory, Pools};
+use crate::route::FreeSlots;
+use crate::serve::{InFlight, LiveAttempts, RetryBudget};
+use crate::settings::GatewaySettings;
+use crate::suspect::Suspects;
+
+/// Shards of organisations. Fixed, since all instances must agree on it.
+pub const BUDGET_SHARDS: u32 = 16;
+
+/// Everything that one entry instance holds.
+pub struct Node {
+    pub settings: GatewaySettings,
+    pub clock: BootClock,
+    pub platform: HttpPlatform,
+    pub membership: Rc<Membership<BootClock>>,
+    pub peers: Peers<BootClock>,
+    pub leases: Rc<Leases<HttpPlatform, NodePeers, BootClock>>,
+    pub configuration: Rc<Configuration<HttpPlatform, HttpPlatform, BootClock, NodePeers>>,
+    pub budgets: Budgets<BootClock>,
+    pub claims: RequestClaims<BootClock>,
+    pub allowances: Rc<Allowances<BootClock, NodeDraws>>,
+    pub engines: Rc<Engines>,
+    pub pools: Rc<Pools<SharedEngines, BootClock>>,
+    pub suspects: Rc<Suspects<BootClock>>,
+    pub live: LiveAttempts,
+    pub free_slots: FreeSlots,
+    pub retry_budget: RetryBudget,
+    pub in_flight: InFlight,
+    pub service_latency: ServiceLatency,
+    pub versions: PeerVersions,
+    pub metrics: GatewayMetrics,
+    /// True once a planned stop has begun to refuse new connections.
+    pub shutdown: watch::Sender<bool>,
+}
+
+/// Gives the pools the same pooled connections that requests use.
+pub struct SharedEngines(pub Rc<Engines>);
+
+impl EngineFactory for SharedEngines {
+    type Engine = HttpEngine;
+
+    fn engine(&self, address: &str) -> HttpEngine {
+        self.0.get(address)
+    }
+}
+
+impl Node {
+    /// Share of the request slots in use.
+    pub fn load_permille(&self) -> u32 {
+        let max_requests = self.settings.max_requests.max(1);
+        (u64::from(self.in_flight.count()) * 1000 / u64::from(max_requests)) as u32
+    }
+
+    /// Clients of a plain service's endpoints in service, those of this zone first.
+    pub fn plain_clients(&self, service: &SmolStr) -> Vec<HttpClient> {
+        let current = self.configuration.current();
+        let document = &current.document;
+        let mut endpoints: Vec<_> = document
+            .endpoints
+            .values()
+            .filter_map(|endpoint| match endpoint {
+                Endpoint::Plain(plain) if plain.service == *service => Some(plain),
+                _ => None,
+            })
+            .filter(|plain| {
+                let zone_state = document.zones.get(&plain.zone).map(|zone| zone.state);
+                plain.state == ServiceState::In && zone_state == Some(ServiceState::In)
+            })
+            .collect();
+        // Random among equals, so that a zone's instances do not all use its first endpoint.
+        endpoints.sort_by_cached_key(|plain| {
+            (plain.zone != self.settings.zone, rand::random::<u32>())
+        });
+        endpoints.iter().map(|plain| self.engines.service(&plain.address)).collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/ownership.rs
@@ -0,0 +1,66 @@
+//! Tells the owners of budgets and pools what this instance holds.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use tokio::sync::{mpsc, watch};
+
+use crate::config::{Document, Endpoint};
+use crate::gateway::{BUDGET_SHARDS, Node};
+use crate::lease::LeaseEvent;
+use crate::units::ShardId;
+
+/// Passes gained and lost leases on.
+pub async fn follow_leases(node: Rc<Node>, mut events: mpsc::UnboundedReceiver<LeaseEvent>) {
+    while let Some(event) = events.recv().await {
+        match event {
+            LeaseEvent::Gained { shard, fencing, previous_end } => {
+                log::info!(target: "lease", "{shard} gained, fencing {fencing}");
+                match shard {
+                    ShardId::Budget(_) => node.budgets.gain(shard, previous_end),
+                    ShardId::Pool { .. } => node.pools.gain(shard, fencing, previous_end),
+                }
+            }
+            LeaseEvent::Lost { shard } => {
+                log::info!(target: "lease", "{shard} lost");
+                match shard {
+                    ShardId::Budget(_) => node.budgets.lose(&shard),
+                    ShardId::Pool { .. } => node.pools.lose(&shard),
+                }
+            }
+        }
+    }
+}
+
+/// Puts each new version of the document in force in the owners.
+pub async fn follow_configuration(node: Rc<Node>, shards: watch::Sender<Vec<ShardId>>) {
+    let mut versions = node.configuration.subscribe();
+    loop {
+        let current = node.configuration.current();
+        log::info!(target: "config", "version {} in force", current.version);
+        node.budgets.set_rates(&current.document.rates);
+        node.pools.set_document(Rc::clone(&current.document));
+        let wanted = shards_of(&current.document);
+        shards.send_if_modified(|known| {
+            let is_changed = *known != wanted;
+            *known = wanted;
+            is_changed
+        });
+        if versions.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+pub(super) fn shards_of(document: &Document) -> Vec<ShardId> {
+    let budgets = (0..BUDGET_SHARDS).map(ShardId::Budget);
+    let pools = document.endpoints.values().filter_map(|endpoint| match endpoint {
+        Endpoint::Engine(engine) => Some(ShardId::Pool {
+            region: document.zones.get(&engine.zone)?.region.clone(),
+            model: engine.model.clone(),
+            slice: engine.slice,
+        }),
+        Endpoint::Plain(_) => None,
+    });
+    budgets.chain(pools).collect::<BTreeSet<_>>().into_iter().collect()
+}
--- /dev/null
+++ b/src/gateway/peer_versions.rs
@@ -0,0 +1,20 @@
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use crate::units::{InstanceId, Version};
+
+/// Configuration version in force on each peer, as its last heartbeat said.
+#[derive(Debug, Default)]
+pub struct PeerVersions {
+    versions: RefCell<HashMap<InstanceId, Version>>,
+}
+
+impl PeerVersions {
+    pub fn note(&self, instance: &InstanceId, version: Version) {
+        self.versions.borrow_mut().insert(instance.clone(), version);
+    }
+
+    pub fn of(&self, instance: &InstanceId) -> Option<Version> {
+        self.versions.borrow().get(instance).copied()
+    }
+}
--- /dev/null
+++ b/src/gateway/service.rs
@@ -0,0 +1,126 @@
+use crate::budget::{DrawAnswer, DrawRequest};
+use crate::clock::Clock;
+use crate::config::Change;
+use crate::gateway::{BUDGET_SHARDS, Node};
+use crate::lease::{Holding, LeaseClaim};
+use crate::peer::{Heartbeat, HeartbeatSource, PeerService, RequestClaim};
+use crate::pool::{Admission, AdmitAnswer, FinishedAttempt, Progress};
+use crate::units::{
+    AttemptId, Fingerprint, Incarnation, InstanceId, OrganisationId, RequestId, ShardId, Version,
+};
+
+impl PeerService for Node {
+    fn heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
+        self.hear(&heartbeat, self.clock.now());
+        self.next_heartbeat()
+    }
+
+    fn holders(&self, shards: &[ShardId]) -> Vec<Holding> {
+        shards.iter().filter_map(|shard| self.leases.holding(shard)).collect()
+    }
+
+    fn extend_lease(&self, claim: &LeaseClaim) -> bool {
+        self.leases.extend(claim)
+    }
+
+    fn consent_takeover(&self, claim: &LeaseClaim) -> bool {
+        self.leases.consent(claim)
+    }
+
+    async fn hand_over(&self, shard: ShardId, state: Vec<u8>) -> bool {
+        match shard {
+            ShardId::Budget(_) => self.budgets.import(&shard, &state).is_ok(),
+            // Reports of live attempts rebuild a pool within a second.
+            ShardId::Pool { .. } => true,
+        }
+    }
+
+    fn draw(&self, request: DrawRequest) -> DrawAnswer {
+        let shard = ShardId::of_organisation(&request.organisation, BUDGET_SHARDS);
+        match self.leases.held(&shard) {
+            Some(held) => self.budgets.draw(&request, held.deadline),
+            None => DrawAnswer::NotHolder(self.other_holder(&shard)),
+        }
+    }
+
+    fn claim_request(
+        &self,
+        organisation: OrganisationId,
+        request: RequestId,
+        attempt: AttemptId,
+    ) -> RequestClaim {
+        let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+        if self.leases.held(&shard).is_none() {
+            return RequestClaim::NotHolder(self.other_holder(&shard));
+        }
+        self.claims.claim(&organisation, &request, &attempt).into()
+    }
+
+    fn finish_request(
+        &self,
+        organisation: OrganisationId,
+        request: RequestId,
+        attempt: AttemptId,
+        completed: bool,
+    ) {
+        self.claims.finish(&organisation, &request, &attempt, completed);
+    }
+
+    async fn admit(&self, admission: Admission) -> AdmitAnswer {
+        match self.leases.held(&admission.shard) {
+            Some(held) => self.pools.admit(admission, held.deadline).await,
+            None => AdmitAnswer::NotHolder(self.other_holder(&admission.shard)),
+        }
+    }
+
+    async fn finish_attempt(
+        &self,
+        shard: ShardId,
+        finished: FinishedAttempt,
+        fingerprint: Fingerprint,
+    ) -> u32 {
+        self.pools.finish(&shard, finished);
+        self.suspects.crashes(fingerprint)
+    }
+
+    fn report_progress(
+        &self,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        shard: ShardId,
+        attempts: Vec<Progress>,
+    ) -> bool {
+        self.leases.held(&shard).is_some()
+            && self.pools.report(&instance, incarnation, &shard, attempts)
+    }
+
+    async fn push_change(&self, change: Change) -> Version {
+        self.configuration.apply(change)
+    }
+
+    fn changes_since(&self, version: Version) -> (Vec<Change>, Version) {
+        let changes = self.configuration.changes_since(version);
+        (changes, self.configuration.current().version)
+    }
+
+    fn snapshot(&self) -> (Version, String) {
+        self.configuration.snapshot()
+    }
+
+    fn note_version(&self, version: Version, witness_incarnation: Incarnation) -> bool {
+        self.configuration.note_version(version, witness_incarnation)
+    }
+
+    fn noted_version(&self, witness_incarnation: Incarnation) -> Option<Version> {
+        self.configuration.noted_version(witness_incarnation)
+    }
+}
+
+impl Node {
+    /// The holder that a caller should ask instead of this instance.
+    fn other_holder(&self, shard: &ShardId) -> Option<Holding> {
+        let own = &self.settings.instance;
+        self.leases.holding(shard).filter(|holding| holding.holder != *own)
+    }
+}
+
--- /dev/null
+++ b/src/gateway/start.rs
@@ -0,0 +1,200 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::budget::{Allowances, Budgets, RequestClaims};
+use crate::clock::BootClock;
+use crate::config::{Configuration, Witness};
+use crate::gateway::node::SharedEngines;
+use crate::gateway::ownership::{follow_configuration, follow_leases};
+use crate::gateway::{
+    Engines, GatewayError, GatewayHandler, GatewayMetrics, Node, NodeDraws, NodePeers,
+    PeerVersions,
+};
+use crate::http::serve;
+use crate::lease::LeasesBuilder;
+use crate::once::ServiceLatency;
+use crate::peer::{Member, Membership, Peers, accept_peers};
+use crate::platform::{HttpPlatform, InstanceList, ListedInstance, ListedState};
+use crate::pool::Pools;
+use crate::route::{FreeSlots, report_progress};
+use crate::serve::{InFlight, LiveAttempts, RetryBudget};
+use crate::settings::GatewaySettings;
+use crate::suspect::Suspects;
+use crate::units::Incarnation;
+
+const LIST_PERIOD: Duration = Duration::from_secs(5);
+const LIST_STARTUP_PERIOD: Duration = Duration::from_millis(250);
+const STARTUP_ROUNDS: u32 = 40;
+const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// A started instance. Dropping it ends all its tasks.
+pub struct RunningGateway {
+    pub node: Rc<Node>,
+    pub http_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    pub tasks: JoinSet<()>,
+    /// Ends when the last connection has closed after the shutdown.
+    pub server: tokio::task::JoinHandle<()>,
+}
+
+/// Starts an instance on the current `LocalSet`. It serves keyed requests once it has learned
+/// the configuration.
+pub async fn start(
+    settings: GatewaySettings,
+    metrics: GatewayMetrics,
+) -> Result<RunningGateway, GatewayError> {
+    let http_listener = listen(settings.http_listen).await?;
+    let peer_listener = listen(settings.peer_listen).await?;
+    let http_address = local_address(&http_listener, settings.http_listen);
+    let peer_address = local_address(&peer_listener, settings.peer_listen);
+    let own = Member {
+        instance: settings.instance.clone(),
+        incarnation: Incarnation(rand::random()),
+        peer_address: peer_address.to_string().into(),
+        http_address: http_address.to_string().into(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        is_leaving: false,
+        heartbeat_counter: 0,
+        load_permille: 0,
+    };
+    let node = build_node(settings, own, metrics);
+    let tasks = spawn_tasks(&node, peer_listener);
+    let handler = Rc::new(GatewayHandler::new(Rc::clone(&node)));
+    let shutdown = node.shutdown.subscribe();
+    let server = tokio::task::spawn_local(serve(http_listener, handler, shutdown));
+    Ok(RunningGateway { node, http_address, peer_address, tasks, server })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| GatewayError::Listen { address, source })
+}
+
+fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
+fn build_node(settings: GatewaySettings, own: Member, metrics: GatewayMetrics) -> Rc<Node> {
+    let clock = BootClock;
+    let platform = HttpPlatform::new(settings.platform_address.clone());
+    let membership = Rc::new(Membership::new(own.clone(), clock));
+    let engines = Rc::new(Engines::default());
+    let suspects = Rc::new(Suspects::new(clock));
+    Rc::new_cyclic(|weak| {
+        let node_peers = NodePeers::new(weak.clone());
+        let witness =
+            Witness { instance: own.instance.clone(), incarnation: own.incarnation };
+        let configuration = Configuration::new(
+            platform.clone(),
+            platform.clone(),
+            clock,
+            node_peers.clone(),
+            witness,
+        );
+        let leases =
+            LeasesBuilder::new(own.clone(), platform.clone(), node_peers, clock).build();
+        let allowances = Allowances::new(
+            own.instance.clone(),
+            own.incarnation,
+            clock,
+            NodeDraws::new(weak.clone()),
+        );
+        Node {
+            clock,
+            peers: Peers::new(Rc::clone(&membership), clock),
+            leases,
+            configuration: Rc::new(configuration),
+            budgets: Budgets::new(clock, crate::gateway::BUDGET_SHARDS),
+            claims: RequestClaims::new(clock),
+            allowances: Rc::new(allowances),
+            pools: Rc::new(Pools::new(SharedEngines(Rc::clone(&engines)), clock)),
+            engines,
+            suspects,
+            live: LiveAttempts::new(own.instance.clone(), own.incarnation),
+            free_slots: FreeSlots::default(),
+            retry_budget: RetryBudget::default(),
+            in_flight: InFlight::default(),
+            service_latency: ServiceLatency::default(),
+            versions: PeerVersions::default(),
+            metrics,
+            shutdown: watch::Sender::new(false),
+            settings,
+            platform,
+            membership,
+        }
+    })
+}
+
+fn spawn_tasks(node: &Rc<Node>, peer_listener: TcpListener) -> JoinSet<()> {
+    let (shards_sender, shards) = watch::channel(Vec::new());
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(accept_peers(peer_listener, Rc::clone(node)));
+    tasks.spawn_local(follow_list(Rc::clone(node)));
+    let peers_node = Rc::clone(node);
+    tasks.spawn_local(async move { peers_node.peers.run(Rc::clone(&peers_node)).await });
+    tasks.spawn_local(follow_leases(Rc::clone(node), node.leases.events()));
+    tasks.spawn_local(Rc::clone(&node.leases).run(shards));
+    tasks.spawn_local(Rc::clone(&node.configuration).run());
+    tasks.spawn_local(follow_configuration(Rc::clone(node), shards_sender));
+    let pools_node = Rc::clone(node);
+    tasks.spawn_local(async move {
+        let deadline = |shard: &_| pools_node.leases.held(shard).map(|held| held.deadline);
+        pools_node.pools.run(deadline).await;
+    });
+    tasks.spawn_local(report_progress(Rc::clone(node)));
+    tasks.spawn_local(keep_metrics(Rc::clone(node)));
+    tasks
+}
+
+/// Registers this instance in the platform's list and reads the list from time to time.
+async fn follow_list(node: Rc<Node>) {
+    let mut round = 0;
+    let mut is_registered = false;
+    loop {
+        if !is_registered {
+            is_registered = register(&node, ListedState::Live).await;
+        }
+        match node.platform.instances().await {
+            Ok(listed) => node.membership.read_list(&listed),
+            Err(error) => log::debug!(target: "peer", "instance list not read: {error}"),
+        }
+        round += 1;
+        let period = if round < STARTUP_ROUNDS { LIST_STARTUP_PERIOD } else { LIST_PERIOD };
+        tokio::time::sleep(period).await;
+    }
+}
+
+/// Returns whether the list took the entry.
+pub(super) async fn register(node: &Node, state: ListedState) -> bool {
+    let own = node.membership.own();
+    let listed = ListedInstance {
+        instance: own.instance,
+        incarnation: own.incarnation,
+        peer_address: own.peer_address,
+        http_address: own.http_address,
+        zone: own.zone,
+        region: own.region,
+        state,
+    };
+    match node.platform.register(&listed).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::debug!(target: "peer", "not registered in the instance list: {error}");
+            false
+        }
+    }
+}
+
+async fn keep_metrics(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(UPKEEP_PERIOD).await;
+        node.metrics.upkeep();
+    }
+}
--- /dev/null
+++ b/src/gateway/stop.rs
@@ -0,0 +1,32 @@
+use std::time::Duration;
+
+use crate::gateway::start::register;
+use crate::gateway::RunningGateway;
+use crate::platform::ListedState;
+
+/// Time for peers to learn from heartbeats that this instance is leaving.
+const SPREAD_MS: u64 = 1_500;
+const WAIT_STEP: Duration = Duration::from_millis(50);
+
+/// Stops an instance without cutting a request: leaves the answers of `/v1/addresses`, waits
+/// until kept answers have run out, closes idle connections, finishes what runs, and hands over
+/// its leases and tokens.
+pub async fn stop(running: RunningGateway) {
+    let RunningGateway { node, server, tasks, .. } = running;
+    log::info!(target: "gateway", "planned stop begins");
+    node.membership.set_leaving();
+    register(&node, ListedState::Leaving).await;
+    let kept_ms = node.settings.addresses_ttl_ms + SPREAD_MS;
+    tokio::time::sleep(Duration::from_millis(kept_ms)).await;
+    node.shutdown.send_replace(true);
+    if server.await.is_err() {
+        log::error!(target: "gateway", "server ended abnormally");
+    }
+    while node.in_flight.count() > 0 {
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+    node.allowances.return_all().await;
+    crate::gateway::ownership::hand_over_all(&node).await;
+    drop(tasks);
+    log::info!(target: "gateway", "planned stop done");
+}
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -103,14 +103,7 @@
     /// Reads the whole body of a successful answer.
     pub async fn read_body(&self, response: Response<Incoming>) -> Result<Bytes, HttpError> {
         let status = response.status();
-        let bytes = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|e| HttpError::Broken {
-                address: self.address.clone(),
-                reason: e.to_smolstr(),
-            })?
-            .to_bytes();
+        let bytes = self.read_any_body(response).await?;
         if status.is_success() {
             return Ok(bytes);
         }
@@ -121,6 +114,15 @@
         })
     }
 
+    /// Reads the whole body of an answer with any status.
+    pub async fn read_any_body(&self, response: Response<Incoming>) -> Result<Bytes, HttpError> {
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        body.map(|body| body.to_bytes()).map_err(|error| HttpError::Broken {
+            address: self.address.clone(),
+            reason: error.to_smolstr(),
+        })
+    }
+
     fn malformed(&self, reason: &impl ToString) -> HttpError {
         HttpError::Malformed { address: self.address.clone(), reason: reason.to_string().into() }
     }
--- /dev/null
+++ b/src/once/mod.rs
@@ -0,0 +1,15 @@
+//! Calls to plain services: idempotent calls are retried and hedged, others run at most once.
+
+mod at_most_once;
+mod claim_row;
+mod forward;
+mod idempotent;
+mod latency;
+mod plain_request;
+
+pub use at_most_once::call_at_most_once;
+pub use claim_row::{ClaimRow, ClaimState, StoredAnswer, StoredBody};
+pub use forward::forward;
+pub use idempotent::call_idempotent;
+pub use latency::ServiceLatency;
+pub use plain_request::{IDEMPOTENCY_HEADER, PlainAnswer, PlainRequest};
--- /dev/null
+++ b/src/once/plain_request.rs
@@ -0,0 +1,74 @@
+use bytes::Bytes;
+use hyper::header::{ACCEPT, CONTENT_TYPE};
+use hyper::{HeaderMap, Method, Uri};
+use smol_str::SmolStr;
+
+use crate::serve::{CallerKey, is_key_name};
+use crate::units::ContentHash;
+
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Headers that are passed on. Everything else may carry a key.
+const PASSED_HEADERS: [&str; 5] =
+    ["accept-language", "traceparent", "tracestate", IDEMPOTENCY_HEADER, "x-request-id"];
+
+/// What is sent to a plain service: the caller's request without its key.
+#[derive(Clone, Debug)]
+pub struct PlainRequest {
+    pub method: Method,
+    pub path_and_query: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// A plain service's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainAnswer {
+    pub status: u16,
+    pub content_type: Option<SmolStr>,
+    pub body: Bytes,
+}
+
+impl PlainRequest {
+    pub fn new(
+        method: Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        body: Bytes,
+        key: Option<&CallerKey>,
+    ) -> PlainRequest {
+        let mut passed = HeaderMap::new();
+        let names = [ACCEPT.as_str(), CONTENT_TYPE.as_str()];
+        for name in names.into_iter().chain(PASSED_HEADERS) {
+            let Some(value) = headers.get(name) else { continue };
+            if !carries_key(value.to_str().unwrap_or_default(), key) {
+                if let Ok(name) = name.parse::<hyper::header::HeaderName>() {
+                    passed.insert(name, value.clone());
+                }
+            }
+        }
+        PlainRequest { method, path_and_query: without_key(uri, key), headers: passed, body }
+    }
+
+    /// Identifies the request's contents, to detect another request under the same key.
+    pub fn content_hash(&self) -> ContentHash {
+        let mut bytes = Vec::with_capacity(self.path_and_query.len() + self.body.len() + 16);
+        for part in [self.method.as_str().as_bytes(), self.path_and_query.as_bytes(), &self.body] {
+            bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
+            bytes.extend_from_slice(part);
+        }
+        ContentHash::of_bytes(&bytes)
+    }
+}
+
+fn carries_key(text: &str, key: Option<&CallerKey>) -> bool {
+    key.is_some_and(|key| key.is_in(text))
+}
+
+fn without_key(uri: &Uri, key: Option<&CallerKey>) -> String {
+    let path = uri.path();
+    let Some(query) = uri.query() else { return path.to_owned() };
+    let kept = form_urlencoded::parse(query.as_bytes())
+        .filter(|(name, value)| !is_key_name(name) && !carries_key(value, key));
+    let query = form_urlencoded::Serializer::new(String::new()).extend_pairs(kept).finish();
+    if query.is_empty() { path.to_owned() } else { format!("{path}?{query}") }
+}
--- /dev/null
+++ b/src/route/admit.rs
@@ -0,0 +1,128 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::config::Endpoint;
+use crate::engine::prefix_hashes;
+use crate::gateway::Node;
+use crate::pool::{Admission, AdmitAnswer, Plan};
+use crate::route::{Holder, find_holder};
+use crate::serve::{Call, CallError, MAX_CRASHES, Outcome};
+use crate::units::{AttemptId, EndpointId, ShardId};
+
+/// Pause before a pool is asked again, while its ownership changes or all pools are full.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Queue time of one round trip to an owner when the model has several pools, so that a request
+/// does not wait at a full pool while another has room.
+const SHORT_QUEUE_MS: u64 = 50;
+
+/// Asks the owners of the model's pools for a pair, until the request's queue deadline.
+pub async fn admit(
+    node: &Rc<Node>,
+    call: &Call,
+    attempt: &AttemptId,
+    avoid: &[EndpointId],
+    outcome: Outcome,
+) -> Result<(ShardId, Plan), CallError> {
+    let mut retry_after_ms = 1_000;
+    let mut round = 0;
+    loop {
+        let crashes = node.suspects.crashes(call.fingerprint);
+        if crashes >= MAX_CRASHES {
+            return Err(CallError::CrashesEndpoints { outcome });
+        }
+        let shards = pools_of_model(node, call);
+        if shards.is_empty() {
+            return Err(CallError::NoEndpoint { outcome });
+        }
+        let mut is_refused_everywhere = true;
+        for shard in &shards {
+            let queue_left_ms = call.queue_deadline.ms_since(node.clock.now());
+            let queue_ms =
+                if round == 0 && shards.len() > 1 { SHORT_QUEUE_MS } else { queue_left_ms };
+            let admission = Admission {
+                attempt: attempt.clone(),
+                organisation: call.organisation.clone(),
+                shard: shard.clone(),
+                prompt_tokens: call.prompt_tokens_bound(),
+                max_output_tokens: call.max_output_tokens,
+                prefix_hashes: prefix_hashes(call.organisation.as_str(), &call.prompt),
+                class: call.class,
+                remaining_ms: call.deadline.ms_since(node.clock.now()),
+                queue_ms: queue_ms.min(queue_left_ms),
+                fingerprint: call.fingerprint,
+                is_suspect: crashes > 0,
+                avoid: avoid.to_vec(),
+                zone: node.settings.zone.clone(),
+            };
+            match ask_owner(node, shard, admission).await {
+                Some(AdmitAnswer::Plan(plan)) => {
+                    node.free_slots.note(shard, plan.free_slots);
+                    return Ok((shard.clone(), plan));
+                }
+                Some(AdmitAnswer::Full { retry_after_ms: after_ms, free_slots }) => {
+                    node.free_slots.note(shard, free_slots);
+                    retry_after_ms = after_ms;
+                    is_refused_everywhere = false;
+                }
+                Some(AdmitAnswer::NoEndpoint) => {}
+                Some(AdmitAnswer::NotHolder(_)) | None => is_refused_everywhere = false,
+            }
+        }
+        let is_late = node.clock.now() >= call.queue_deadline;
+        if is_late && is_refused_everywhere {
+            return Err(CallError::NoEndpoint { outcome });
+        }
+        if is_late {
+            return Err(CallError::NoCapacity { retry_after_ms, outcome });
+        }
+        round += 1;
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+/// `None` if the owner cannot be found or reached.
+async fn ask_owner(
+    node: &Rc<Node>,
+    shard: &ShardId,
+    admission: Admission,
+) -> Option<AdmitAnswer> {
+    match find_holder(node, shard).await.ok()? {
+        Holder::Own(held) => Some(node.pools.admit(admission, held.deadline).await),
+        Holder::Peer(client, _) => {
+            let answer = client.admit(&admission).await.ok()?;
+            if let AdmitAnswer::NotHolder(Some(holding)) = &answer {
+                node.leases.learn(holding.clone());
+            }
+            Some(answer)
+        }
+    }
+}
+
+/// The pools of the call's model: those of this region first, then by free slots.
+fn pools_of_model(node: &Node, call: &Call) -> Vec<ShardId> {
+    let current = node.configuration.current();
+    let mut shards: Vec<ShardId> = Vec::new();
+    for endpoint in current.document.endpoints.values() {
+        let Endpoint::Engine(engine) = endpoint else { continue };
+        let Some(zone) = current.document.zones.get(&engine.zone) else { continue };
+        if engine.model != call.model {
+            continue;
+        }
+        let shard = ShardId::Pool {
+            region: zone.region.clone(),
+            model: engine.model.clone(),
+            slice: engine.slice,
+        };
+        if !shards.contains(&shard) {
+            shards.push(shard);
+        }
+    }
+    node.free_slots.sort(&mut shards);
+    shards.sort_by_key(|shard| !is_in_region(shard, node));
+    shards
+}
+
+fn is_in_region(shard: &ShardId, node: &Node) -> bool {
+    matches!(shard, ShardId::Pool { region, .. } if *region == node.settings.region)
+}
--- /dev/null
+++ b/src/route/holder.rs
@@ -0,0 +1,53 @@
+use std::rc::Rc;
+
+use crate::gateway::Node;
+use crate::hash::rendezvous_order;
+use crate::lease::{Held, Holding};
+use crate::peer::{PeerClient, PeerError};
+use crate::units::{InstanceId, ShardId};
+
+/// Peers that are asked for a shard's holder: those that may take it over know it first.
+const MAX_ASKED: usize = 3;
+
+/// The instance that holds a shard.
+pub enum Holder {
+    Own(Held),
+    Peer(PeerClient, Holding),
+}
+
+/// Finds the shard's holder, asking the peers that are first in the shard's rendezvous order if
+/// this instance does not know it.
+pub async fn find_holder(node: &Rc<Node>, shard: &ShardId) -> Result<Holder, PeerError> {
+    if let Some(held) = node.leases.held(shard) {
+        return Ok(Holder::Own(held));
+    }
+    let own = node.membership.own().instance;
+    if let Some(holding) = node.leases.holding(shard)
+        && holding.holder != own
+        && let Ok(client) = node.peers.connect(&holding.holder, node).await
+    {
+        return Ok(Holder::Peer(client, holding));
+    }
+    for peer in asked_peers(node, shard) {
+        let Some(client) = node.peers.client(&peer) else { continue };
+        let Ok(holdings) = client.holders(std::slice::from_ref(shard)).await else { continue };
+        for holding in holdings {
+            node.leases.learn(holding);
+        }
+        if let Some(holding) = node.leases.holding(shard)
+            && holding.holder != own
+            && let Ok(client) = node.peers.connect(&holding.holder, node).await
+        {
+            return Ok(Holder::Peer(client, holding));
+        }
+    }
+    Err(PeerError::NotConnected)
+}
+
+fn asked_peers(node: &Node, shard: &ShardId) -> Vec<InstanceId> {
+    let mut peers: Vec<InstanceId> =
+        node.membership.live_peers().into_iter().map(|member| member.instance).collect();
+    rendezvous_order(&shard.to_string(), &mut peers);
+    peers.truncate(MAX_ASKED);
+    peers
+}
--- /dev/null
+++ b/src/serve/attempt.rs
@@ -0,0 +1,383 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::clock::{Clock, Instant};
+use crate::engine::{
+    DecodeEvent, DecodeRequest, Engine, EngineError, PrefillRequest, PrefillResult, PrefillSource,
+    TokenStream,
+};
+use crate::gateway::Node;
+use crate::http::HttpError;
+use crate::pool::{AttemptEnd, FinishedAttempt, Plan};
+use crate::serve::{Call, LiveAttempt, RunEvent};
+use crate::units::{AttemptId, EndpointId, ShardId, Tokens};
+
+/// Longest silence of a decode stream before its connection counts as silent. Well above the
+/// time between tokens of a cold engine.
+const TOKEN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Added to the transfer's limit for the engine to start the stream.
+const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(1500);
+/// Longest time that a caller may take to read one chunk.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Reconnections to an engine that may still hold the attempt.
+const MAX_RECONNECTS: u32 = 2;
+
+/// What a request has produced so far, over all its attempts.
+#[derive(Debug, Default)]
+pub struct Produced {
+    pub tokens: Vec<SmolStr>,
+    pub prompt_tokens: Tokens,
+    pub first_token_at: Option<Instant>,
+    pub last_token_at: Option<Instant>,
+    /// Whether any engine may have run the request.
+    pub was_sent: bool,
+}
+
+impl Produced {
+    pub fn output_tokens(&self) -> Tokens {
+        Tokens(self.tokens.len() as u64)
+    }
+
+    /// Tokens that the request has used of its organisation's budget.
+    pub fn used_tokens(&self) -> Tokens {
+        self.prompt_tokens + self.output_tokens()
+    }
+}
+
+/// Why an attempt ended without the whole answer.
+#[derive(Debug)]
+pub enum AttemptError {
+    CallerGone,
+    DeadlinePassed,
+    /// The endpoint failed; another may do better.
+    Endpoint { endpoint: EndpointId, died: bool, error: EngineError },
+}
+
+/// One attempt of a request on a reserved pair. Dropping it frees what it holds.
+pub struct Attempt {
+    node: Rc<Node>,
+    id: AttemptId,
+    shard: ShardId,
+    plan: Plan,
+    call: Rc<Call>,
+    started_at: Instant,
+    is_finished: bool,
+}
+
+impl Attempt {
+    pub fn new(
+        node: Rc<Node>,
+        id: AttemptId,
+        shard: ShardId,
+        plan: Plan,
+        call: Rc<Call>,
+    ) -> Attempt {
+        let total = call.prompt_tokens_bound() + call.max_output_tokens;
+        let live = LiveAttempt {
+            shard: shard.clone(),
+            organisation: call.organisation.clone(),
+            plan: plan.clone(),
+            pieces: call.model_limits.pieces_for(total),
+            output_tokens: Tokens(0),
+            deadline: call.deadline,
+        };
+        node.live.insert(&id, live);
+        let started_at = node.clock.now();
+        Attempt { node, id, shard, plan, call, started_at, is_finished: false }
+    }
+
+    pub fn id(&self) -> &AttemptId {
+        &self.id
+    }
+
+    /// Runs prefill, transfer and decode, and sends the tokens on. Returns the finish reason.
+    pub async fn run(
+        &self,
+        produced: &mut Produced,
+        events: &mpsc::Sender<RunEvent>,
+    ) -> Result<SmolStr, AttemptError> {
+        tokio::time::sleep(Duration::from_millis(self.plan.start_after_ms)).await;
+        let prefill = self.prefill(produced).await?;
+        produced.prompt_tokens =
+            prefill.prompt_tokens - Tokens(produced.tokens.len() as u64);
+        let source = PrefillSource {
+            address: self.plan.prefill_address.clone(),
+            handle: prefill.handle,
+        };
+        let mut source = Some(source);
+        let mut reconnects = 0;
+        loop {
+            let first_index = produced.tokens.len() as u64;
+            let error = match self.decode(source.take(), first_index).await {
+                Ok(mut stream) => match self.pump(&mut stream, produced, events).await? {
+                    Pumped::Done(finish_reason) => return Ok(finish_reason),
+                    Pumped::Broken(error) => error,
+                },
+                Err(error) => error,
+            };
+            self.check_deadline()?;
+            // The engine may still hold the attempt, so only the connection is replaced.
+            let is_resumable = is_connection_error(&error) && reconnects < MAX_RECONNECTS;
+            if !is_resumable {
+                return Err(self.decode_failed(error).await);
+            }
+            reconnects += 1;
+            self.node.engines.get(&self.plan.decode_address).reset_connections();
+        }
+    }
+
+    async fn prefill(&self, produced: &mut Produced) -> Result<PrefillResult, AttemptError> {
+        let engine = self.node.engines.get(&self.plan.prefill_address);
+        let request = PrefillRequest {
+            attempt: self.id.clone(),
+            model: self.call.model.clone(),
+            prompt: self.call.prompt.clone(),
+            generated: produced.tokens.clone(),
+            cache_scope: self.call.organisation.as_str().into(),
+            priority: self.call.priority(),
+        };
+        let limit = self.call.remaining(&self.node.clock);
+        produced.was_sent = true;
+        let error = match timeout(limit, engine.prefill(&request)).await {
+            Err(_) => return Err(AttemptError::DeadlinePassed),
+            Ok(Ok(result)) => return Ok(result),
+            Ok(Err(error)) => error,
+        };
+        if matches!(&error, EngineError::Http(HttpError::Connect { .. })) {
+            produced.was_sent = !produced.tokens.is_empty();
+        }
+        let died = is_dead(&engine, &error).await;
+        Err(AttemptError::Endpoint { endpoint: self.plan.prefill.clone(), died, error })
+    }
+
+    async fn decode(
+        &self,
+        source: Option<PrefillSource>,
+        first_index: u64,
+    ) -> Result<<crate::engine::HttpEngine as Engine>::Stream, EngineError> {
+        let engine = self.node.engines.get(&self.plan.decode_address);
+        let request = DecodeRequest {
+            attempt: self.id.clone(),
+            model: self.call.model.clone(),
+            prompt: self.call.prompt.clone(),
+            source,
+            first_index,
+            max_output_tokens: self.call.max_output_tokens,
+            priority: self.call.priority(),
+        };
+        let limit = Duration::from_millis(self.plan.transfer_limit_ms) + FIRST_EVENT_MARGIN;
+        timeout(limit, engine.decode(&request)).await.unwrap_or(Err(EngineError::TransferStalled))
+    }
+
+    /// Passes the stream's tokens on until it ends. Events of other attempts, repeated tokens
+    /// and tokens out of order are dropped.
+    async fn pump(
+        &self,
+        stream: &mut impl TokenStream,
+        produced: &mut Produced,
+        events: &mpsc::Sender<RunEvent>,
+    ) -> Result<Pumped, AttemptError> {
+        let transfer_limit = Duration::from_millis(self.plan.transfer_limit_ms);
+        let mut limit = transfer_limit + FIRST_EVENT_MARGIN;
+        loop {
+            let event = match timeout(limit, stream.next()).await {
+                Err(_) => return Ok(Pumped::Broken(EngineError::Silent)),
+                Ok(Err(error)) => return Ok(Pumped::Broken(error)),
+                Ok(Ok(None)) => return Ok(Pumped::Broken(EngineError::StreamCut)),
+                Ok(Ok(Some(event))) => event,
+            };
+            self.check_deadline()?;
+            if *event.attempt() != self.id {
+                metrics::counter!("almondroad_crossed_events_total").increment(1);
+                continue;
+            }
+            limit = TOKEN_TIMEOUT;
+            match event {
+                DecodeEvent::Imported { .. } => {}
+                DecodeEvent::Token { index, text, .. } => {
+                    let next_index = produced.tokens.len() as u64;
+                    if index > next_index {
+                        return Ok(Pumped::Broken(EngineError::StreamCut));
+                    }
+                    if index == next_index {
+                        self.pass_on(text, produced, events).await?;
+                    }
+                }
+                DecodeEvent::Done { output_tokens, finish_reason, .. } => {
+                    if output_tokens != produced.output_tokens() {
+                        return Ok(Pumped::Broken(EngineError::StreamCut));
+                    }
+                    return Ok(Pumped::Done(finish_reason));
+                }
+            }
+        }
+    }
+
+    async fn pass_on(
+        &self,
+        text: SmolStr,
+        produced: &mut Produced,
+        events: &mpsc::Sender<RunEvent>,
+    ) -> Result<(), AttemptError> {
+        let now = self.node.clock.now();
+        self.node.metrics.note_token(&self.call, produced.last_token_at, now);
+        produced.first_token_at.get_or_insert(now);
+        produced.last_token_at = Some(now);
+        produced.tokens.push(text.clone());
+        self.node.live.note_progress(&self.id, produced.output_tokens());
+        match timeout(CALLER_TIMEOUT, events.send(RunEvent::Token(text))).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(AttemptError::CallerGone),
+        }
+    }
+
+    async fn decode_failed(&self, error: EngineError) -> AttemptError {
+        if error == EngineError::PrefillExpired || error == EngineError::TransferStalled {
+            metrics::counter!("almondroad_prefills_wasted_total").increment(1);
+        }
+        let engine = self.node.engines.get(&self.plan.decode_address);
+        let died = is_dead(&engine, &error).await;
+        AttemptError::Endpoint { endpoint: self.plan.decode.clone(), died, error }
+    }
+
+    fn check_deadline(&self) -> Result<(), AttemptError> {
+        if self.node.clock.now() >= self.call.deadline {
+            return Err(AttemptError::DeadlinePassed);
+        }
+        Ok(())
+    }
+
+    /// Ends the attempt and tells the pool's owner what it showed. Returns how many endpoints
+    /// died under requests with this prompt.
+    pub async fn finish(mut self, produced: &Produced, ended: Result<(), &AttemptError>) -> u32 {
+        self.is_finished = true;
+        let (end, endpoint) = match ended {
+            Ok(()) => (AttemptEnd::Completed, None),
+            Err(AttemptError::CallerGone) => (AttemptEnd::Cancelled, None),
+            Err(AttemptError::DeadlinePassed) => (AttemptEnd::Failed, None),
+            Err(AttemptError::Endpoint { endpoint, died: true, .. }) => {
+                (AttemptEnd::EndpointDied, Some(endpoint.clone()))
+            }
+            Err(AttemptError::Endpoint { endpoint, error, .. }) => {
+                let is_wasted = *error == EngineError::PrefillExpired;
+                let end = if is_wasted { AttemptEnd::PrefillWasted } else { AttemptEnd::Failed };
+                (end, Some(endpoint.clone()))
+            }
+        };
+        let first_token_ms =
+            produced.first_token_at.map_or(0, |first| first.ms_since(self.started_at));
+        let decode_ms = match (produced.first_token_at, produced.last_token_at) {
+            (Some(first), Some(last)) => last.ms_since(first.max(self.started_at)),
+            _ => 0,
+        };
+        let finished = FinishedAttempt {
+            attempt: self.id.clone(),
+            end,
+            endpoint,
+            output_tokens: produced.output_tokens(),
+            first_token_ms,
+            decode_ms,
+        };
+        let cleanup = Cleanup::of(&self);
+        if end != AttemptEnd::Completed {
+            cleanup.cancel_on_engines().await;
+        }
+        cleanup.finish_at_owner(finished).await
+    }
+}
+
+enum Pumped {
+    Done(SmolStr),
+    Broken(EngineError),
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.is_finished {
+            return;
+        }
+        let cleanup = Cleanup::of(self);
+        let finished = FinishedAttempt {
+            attempt: self.id.clone(),
+            end: AttemptEnd::Cancelled,
+            endpoint: None,
+            output_tokens: Tokens(0),
+            first_token_ms: 0,
+            decode_ms: 0,
+        };
+        tokio::task::spawn_local(async move {
+            cleanup.cancel_on_engines().await;
+            cleanup.finish_at_owner(finished).await;
+        });
+    }
+}
+
+/// Frees what an attempt holds on the engines and at the pool's owner. What fails here is found
+/// by the owner, which compares the engines' lists with the reports of live attempts.
+struct Cleanup {
+    node: Rc<Node>,
+    id: AttemptId,
+    shard: ShardId,
+    call: Rc<Call>,
+    addresses: [SmolStr; 2],
+}
+
+impl Cleanup {
+    fn of(attempt: &Attempt) -> Cleanup {
+        Cleanup {
+            node: Rc::clone(&attempt.node),
+            id: attempt.id.clone(),
+            shard: attempt.shard.clone(),
+            call: Rc::clone(&attempt.call),
+            addresses: [
+                attempt.plan.prefill_address.clone(),
+                attempt.plan.decode_address.clone(),
+            ],
+        }
+    }
+
+    async fn cancel_on_engines(&self) {
+        let cancels = self.addresses.iter().map(|address| {
+            let engine = self.node.engines.get(address);
+            async move {
+                if let Err(error) = engine.cancel(&self.id).await {
+                    log::debug!(target: "serve", "cancel of {} failed: {error}", self.id);
+                }
+            }
+        });
+        futures::future::join_all(cancels).await;
+    }
+
+    async fn finish_at_owner(&self, finished: FinishedAttempt) -> u32 {
+        self.node.live.remove(&self.id);
+        let fingerprint = self.call.fingerprint;
+        crate::route::finish_attempt(&self.node, &self.shard, finished, fingerprint).await
+    }
+}
+
+fn is_connection_error(error: &EngineError) -> bool {
+    matches!(
+        error,
+        EngineError::StreamCut
+            | EngineError::Silent
+            | EngineError::Http(HttpError::Broken { .. } | HttpError::Timeout { .. })
+    )
+}
+
+/// Whether the engine's process is gone: a new connection is refused too.
+async fn is_dead(engine: &impl Engine, error: &EngineError) -> bool {
+    let is_refused =
+        |error: &EngineError| matches!(error, EngineError::Http(HttpError::Connect { .. }));
+    if is_refused(error) {
+        return true;
+    }
+    if !is_connection_error(error) {
+        return false;
+    }
+    engine.reset_connections();
+    matches!(engine.load().await, Err(error) if is_refused(&error))
+}
--- /dev/null
+++ b/src/serve/call.rs
@@ -0,0 +1,44 @@
+use std::time::Duration;
+
+use crate::clock::{Clock, Instant};
+use crate::config::Model;
+use crate::pool::Class;
+use crate::units::{Fingerprint, ModelId, OrganisationId, RequestId, Tokens};
+
+/// An authenticated and checked request for a completion.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub organisation: OrganisationId,
+    /// Set if the caller chose an id; repeats of it are answered once.
+    pub request: Option<RequestId>,
+    pub model: ModelId,
+    pub model_limits: Model,
+    pub prompt: String,
+    pub max_output_tokens: Tokens,
+    pub class: Class,
+    pub deadline: Instant,
+    pub queue_deadline: Instant,
+    pub fingerprint: Fingerprint,
+}
+
+impl Call {
+    /// Upper bound of the prompt's tokens, before an engine has counted them.
+    pub fn prompt_tokens_bound(&self) -> Tokens {
+        prompt_tokens_bound(&self.prompt, &self.model_limits)
+    }
+
+    pub fn remaining(&self, clock: &impl Clock) -> Duration {
+        self.deadline.remaining(clock.now())
+    }
+
+    pub fn priority(&self) -> u8 {
+        match self.class {
+            Class::Interactive => 1,
+            Class::Waiting => 0,
+        }
+    }
+}
+
+pub fn prompt_tokens_bound(prompt: &str, model: &Model) -> Tokens {
+    Tokens((prompt.len() as u64).div_ceil(model.min_bytes_per_token.max(1)).max(1))
+}
--- /dev/null
+++ b/src/serve/complete.rs
@@ -0,0 +1,232 @@
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Request, Response};
+use smol_str::ToSmolStr;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::config::Route;
+use crate::gateway::Node;
+use crate::http::{BrokenStream, ResponseBody};
+use crate::pool::Class;
+use crate::serve::call::prompt_tokens_bound;
+use crate::serve::claim::ClaimedRequest;
+use crate::serve::{
+    Call, CallError, CompletionFormat, CompletionRequest, Interface, OUTCOME_HEADER, Outcome, RunEvent,
+    charge, json_response, run,
+};
+use crate::units::{Fingerprint, ModelId, OrganisationId, RequestId, Tokens};
+
+/// Events and chunks that may wait for a slow caller.
+const CHANNEL_EVENTS: usize = 64;
+const MAX_REQUEST_ID_BYTES: usize = 128;
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+/// Limit on the output of a request that sets no `max_tokens`.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+/// Answers a request for a completion.
+pub async fn complete(
+    node: &Rc<Node>,
+    route: &Route,
+    organisation: OrganisationId,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, CallError> {
+    let interface = if request.uri().path().ends_with("/chat/completions") {
+        Interface::ChatCompletions
+    } else {
+        Interface::Completions
+    };
+    let headers = request.headers().clone();
+    let body = read_body(request, node.settings.max_body_bytes).await?;
+    let parsed = CompletionRequest::parse(interface, &body)?;
+    let call = Rc::new(check(node, route, organisation, &headers, &parsed)?);
+    if node.suspects.crashes(call.fingerprint) >= run::MAX_CRASHES {
+        let outcome = Outcome::NotRun;
+        return Err(CallError::CrashesEndpoints { outcome });
+    }
+    let claimed = ClaimedRequest::claim(node, &call).await?;
+    let charge = match charge::charge(node, &call).await {
+        Ok(charge) => charge,
+        Err(error) => {
+            if let Some(claimed) = claimed {
+                claimed.finish(false).await;
+            }
+            return Err(error);
+        }
+    };
+    node.retry_budget.note_request();
+    let (sender, mut events) = mpsc::channel(CHANNEL_EVENTS);
+    let in_flight = node.in_flight.enter();
+    let task_node = Rc::clone(node);
+    let task_call = Rc::clone(&call);
+    tokio::task::spawn_local(async move {
+        let is_complete = run::run(task_node, task_call, charge, sender).await;
+        if let Some(claimed) = claimed {
+            claimed.finish(is_complete).await;
+        }
+        drop(in_flight);
+    });
+    let first = events.recv().await.unwrap_or(RunEvent::Failed(CallError::Stopping));
+    if let RunEvent::Failed(error) = first {
+        return Err(error);
+    }
+    let format = CompletionFormat {
+        interface,
+        id: call.request.as_ref().map_or_else(
+            || node.live.next_id().to_smolstr(),
+            |request| request.as_str().into(),
+        ),
+        model: parsed.model.clone(),
+        created_s: unix_time_s(),
+    };
+    if parsed.stream {
+        Ok(stream_answer(format, first, events))
+    } else {
+        whole_answer(&format, first, events).await
+    }
+}
+
+/// Reads a request's body up to a limit.
+pub async fn read_body(
+    request: Request<Incoming>,
+    max_body_bytes: usize,
+) -> Result<Bytes, CallError> {
+    match Limited::new(request.into_body(), max_body_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(CallError::BodyTooLarge { max_body_bytes })
+        }
+        Err(_) => Err(CallError::BodyUnreadable),
+    }
+}
+
+fn check(
+    node: &Node,
+    route: &Route,
+    organisation: OrganisationId,
+    headers: &HeaderMap,
+    parsed: &CompletionRequest,
+) -> Result<Call, CallError> {
+    let current = node.configuration.current();
+    let model = ModelId::new(parsed.model.clone());
+    let Some(limits) = current.document.models.get(&model) else {
+        return Err(CallError::UnknownModel { model: parsed.model.clone() });
+    };
+    let most = limits.max_output_tokens;
+    let max_output_tokens = match parsed.max_tokens {
+        None => most.min(Tokens(DEFAULT_MAX_TOKENS)),
+        Some(tokens) if tokens >= 1 && tokens <= most.0 => Tokens(tokens),
+        Some(_) => return Err(CallError::BadMaxTokens { max_tokens: most.0 }),
+    };
+    if prompt_tokens_bound(&parsed.prompt, limits) > limits.max_prompt_tokens {
+        return Err(CallError::PromptTooLong { max_tokens: limits.max_prompt_tokens.0 });
+    }
+    let now = node.clock.now();
+    let timeout_ms = match number_header(headers, TIMEOUT_HEADER)? {
+        Some(timeout_ms) => timeout_ms.min(node.settings.request_timeout_ms),
+        None => node.settings.request_timeout_ms,
+    };
+    let deadline = now.plus_ms(timeout_ms);
+    let queue_ms = match route.class {
+        Class::Interactive => node.settings.interactive_queue_ms,
+        Class::Waiting => node.settings.waiting_queue_ms,
+    };
+    Ok(Call {
+        fingerprint: Fingerprint::of_prompt(&organisation, &model, &parsed.prompt),
+        organisation,
+        request: request_id(headers)?,
+        model,
+        model_limits: limits.clone(),
+        prompt: parsed.prompt.clone(),
+        max_output_tokens,
+        class: route.class,
+        deadline,
+        queue_deadline: now.plus_ms(queue_ms).min(deadline),
+    })
+}
+
+fn request_id(headers: &HeaderMap) -> Result<Option<RequestId>, CallError> {
+    let Some(value) = headers.get(REQUEST_ID_HEADER) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| CallError::BadHeader { header: REQUEST_ID_HEADER })?;
+    if text.is_empty() || text.len() > MAX_REQUEST_ID_BYTES {
+        return Err(CallError::BadHeader { header: REQUEST_ID_HEADER });
+    }
+    Ok(Some(RequestId::new(text)))
+}
+
+fn number_header(headers: &HeaderMap, name: &'static str) -> Result<Option<u64>, CallError> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    number.map(Some).ok_or(CallError::BadHeader { header: name })
+}
+
+fn stream_answer(
+    format: CompletionFormat,
+    first: RunEvent,
+    mut events: mpsc::Receiver<RunEvent>,
+) -> Response<ResponseBody> {
+    let (sender, chunks) = mpsc::channel(CHANNEL_EVENTS);
+    tokio::task::spawn_local(async move {
+        let mut event = Some(first);
+        while let Some(current) = event {
+            let (chunk, is_broken) = match &current {
+                RunEvent::Token(text) => (format.token_event(text), false),
+                RunEvent::Done { finish_reason, prompt_tokens, output_tokens } => {
+                    (format.end_events(finish_reason, *prompt_tokens, *output_tokens), false)
+                }
+                RunEvent::Failed(error) => (format.error_event(error), true),
+            };
+            if sender.send(Ok(chunk)).await.is_err() {
+                return;
+            }
+            if is_broken {
+                let _ = sender.send(Err(BrokenStream)).await;
+                return;
+            }
+            // Waits for the caller, too, so that one that has gone is noticed before the next
+            // token.
+            event = tokio::select! {
+                event = events.recv() => event,
+                () = sender.closed() => return,
+            };
+        }
+    });
+    let mut response = Response::new(ResponseBody::Stream(chunks));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
+
+async fn whole_answer(
+    format: &CompletionFormat,
+    first: RunEvent,
+    mut events: mpsc::Receiver<RunEvent>,
+) -> Result<Response<ResponseBody>, CallError> {
+    let mut text = String::new();
+    let mut event = Some(first);
+    while let Some(current) = event {
+        match current {
+            RunEvent::Token(token) => text.push_str(&token),
+            RunEvent::Failed(error) => return Err(error),
+            RunEvent::Done { finish_reason, prompt_tokens, output_tokens } => {
+                let whole = format.whole(&text, &finish_reason, prompt_tokens, output_tokens);
+                let mut response = json_response(&whole);
+                response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("run"));
+                return Ok(response);
+            }
+        }
+        event = events.recv().await;
+    }
+    Err(CallError::EngineFailed { outcome: Outcome::Run })
+}
+
+fn unix_time_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
+}
--- /dev/null
+++ b/src/serve/live_attempts.rs
@@ -0,0 +1,85 @@
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+
+use crate::clock::{Clock, Instant};
+use crate::pool::{Plan, Progress};
+use crate::units::{
+    AttemptId, Incarnation, InstanceId, OrganisationId, Pieces, ShardId, Tokens,
+};
+
+/// The attempts that this instance runs, reported to the owners of their pools each second.
+#[derive(Debug)]
+pub struct LiveAttempts {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    next_sequence: Cell<u64>,
+    attempts: RefCell<HashMap<AttemptId, LiveAttempt>>,
+}
+
+#[derive(Clone, Debug)]
+pub struct LiveAttempt {
+    pub shard: ShardId,
+    pub organisation: OrganisationId,
+    pub plan: Plan,
+    pub pieces: Pieces,
+    pub output_tokens: Tokens,
+    pub deadline: Instant,
+}
+
+impl LiveAttempts {
+    pub fn new(instance: InstanceId, incarnation: Incarnation) -> LiveAttempts {
+        LiveAttempts {
+            instance,
+            incarnation,
+            next_sequence: Cell::new(0),
+            attempts: RefCell::default(),
+        }
+    }
+
+    /// A new attempt id of this instance.
+    pub fn next_id(&self) -> AttemptId {
+        let sequence = self.next_sequence.get() + 1;
+        self.next_sequence.set(sequence);
+        AttemptId { instance: self.instance.clone(), incarnation: self.incarnation, sequence }
+    }
+
+    pub fn len(&self) -> usize {
+        self.attempts.borrow().len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.attempts.borrow().is_empty()
+    }
+
+    pub fn insert(&self, attempt: &AttemptId, live: LiveAttempt) {
+        self.attempts.borrow_mut().insert(attempt.clone(), live);
+    }
+
+    pub fn note_progress(&self, attempt: &AttemptId, output_tokens: Tokens) {
+        if let Some(live) = self.attempts.borrow_mut().get_mut(attempt) {
+            live.output_tokens = output_tokens;
+        }
+    }
+
+    pub fn remove(&self, attempt: &AttemptId) {
+        self.attempts.borrow_mut().remove(attempt);
+    }
+
+    /// The complete list of live attempts in each pool.
+    pub fn reports(&self, clock: &impl Clock) -> HashMap<ShardId, Vec<Progress>> {
+        let now = clock.now();
+        let mut reports: HashMap<ShardId, Vec<Progress>> = HashMap::new();
+        for (attempt, live) in self.attempts.borrow().iter() {
+            reports.entry(live.shard.clone()).or_default().push(Progress {
+                attempt: attempt.clone(),
+                output_tokens: live.output_tokens,
+                organisation: live.organisation.clone(),
+                prefill: live.plan.prefill.clone(),
+                decode: live.plan.decode.clone(),
+                pieces: live.pieces,
+                remaining_ms: live.deadline.ms_since(now),
+            });
+        }
+        reports
+    }
+}
--- /dev/null
+++ b/src/serve/outcome.rs
@@ -0,0 +1,14 @@
+use serde::Serialize;
+
+/// Whether a refused or failed request ran on an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, derive_more::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Certainly not run; sending it again is safe.
+    #[display("not_run")]
+    NotRun,
+    #[display("run")]
+    Run,
+    #[display("unknown")]
+    Unknown,
+}
--- /dev/null
+++ b/src/serve/run.rs
@@ -0,0 +1,103 @@
+use std::rc::Rc;
+
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+
+use crate::budget::Charge;
+use crate::clock::Clock;
+use crate::gateway::Node;
+use crate::route;
+use crate::serve::attempt::{Attempt, AttemptError, Produced};
+use crate::serve::{Call, CallError, Outcome, RunEvent};
+use crate::units::EndpointId;
+
+/// Attempts of one request, resumptions included.
+const MAX_ATTEMPTS: u32 = 4;
+/// Requests that were running on this many endpoints when those died are refused.
+pub const MAX_CRASHES: u32 = 2;
+
+/// Runs a request until its answer is whole, its caller has gone or it has failed. Resumes it on
+/// other endpoints at the token where it stopped.
+/// Returns whether the caller got the whole answer.
+pub async fn run(
+    node: Rc<Node>,
+    call: Rc<Call>,
+    charge: GatewayCharge,
+    events: mpsc::Sender<RunEvent>,
+) -> bool {
+    let mut produced = Produced::default();
+    let started_at = node.clock.now();
+    let ended = tokio::select! {
+        ended = attempt_until_done(&node, &call, &charge, &mut produced, &events) => Some(ended),
+        () = events.closed() => None,
+    };
+    charge.settle(produced.used_tokens());
+    node.metrics.note_end(&call, &produced, started_at, ended.as_ref());
+    match ended {
+        // The caller has gone; the dropped attempt frees what it held.
+        None => false,
+        Some(Ok(finish_reason)) => {
+            let done = RunEvent::Done {
+                finish_reason,
+                prompt_tokens: produced.prompt_tokens,
+                output_tokens: produced.output_tokens(),
+            };
+            events.send(done).await.is_ok()
+        }
+        Some(Err(error)) => {
+            let _ = events.send(RunEvent::Failed(error)).await;
+            false
+        }
+    }
+}
+
+/// A charge of this instance's budgets.
+pub type GatewayCharge = Charge<crate::clock::BootClock, crate::gateway::NodeDraws>;
+
+async fn attempt_until_done(
+    node: &Rc<Node>,
+    call: &Rc<Call>,
+    charge: &GatewayCharge,
+    produced: &mut Produced,
+    events: &mpsc::Sender<RunEvent>,
+) -> Result<SmolStr, CallError> {
+    let mut avoid: Vec<EndpointId> = Vec::new();
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let outcome = outcome_so_far(produced);
+        let id = node.live.next_id();
+        let (shard, plan) = route::admit(node, call, &id, &avoid, outcome).await?;
+        let attempt = Attempt::new(Rc::clone(node), id, shard, plan, Rc::clone(call));
+        let ended = attempt.run(produced, events).await;
+        charge.note_used(produced.used_tokens());
+        let error = match ended {
+            Ok(finish_reason) => {
+                attempt.finish(produced, Ok(())).await;
+                return Ok(finish_reason);
+            }
+            Err(error) => error,
+        };
+        log::debug!(target: "serve", "attempt {} ended: {error:?}", attempt.id());
+        let crashes = attempt.finish(produced, Err(&error)).await;
+        let outcome = outcome_so_far(produced);
+        match error {
+            AttemptError::CallerGone => return Err(CallError::EngineFailed { outcome }),
+            AttemptError::DeadlinePassed => return Err(CallError::DeadlinePassed { outcome }),
+            AttemptError::Endpoint { endpoint, .. } => avoid.push(endpoint),
+        }
+        if crashes >= MAX_CRASHES {
+            return Err(CallError::CrashesEndpoints { outcome });
+        }
+        // A stream that has begun is resumed in any case; its caller cannot send it again
+        // without reading it twice.
+        let may_retry = !produced.tokens.is_empty() || node.retry_budget.take_retry();
+        if attempts >= MAX_ATTEMPTS || !may_retry {
+            return Err(CallError::EngineFailed { outcome });
+        }
+    }
+}
+
+fn outcome_so_far(produced: &Produced) -> Outcome {
+    if produced.was_sent { Outcome::Run } else { Outcome::NotRun }
+}
--- /dev/null
+++ b/src/settings/gateway_settings.rs
@@ -0,0 +1,145 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Deserializer};
+use smol_str::SmolStr;
+
+use crate::settings::LogSettings;
+use crate::units::{InstanceId, RegionId, ZoneId};
+
+/// Settings of the gateway. Everything else is in the configuration document.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    pub instance: InstanceId,
+    pub region: RegionId,
+    pub zone: ZoneId,
+    /// Address for callers and operators. Port 0 lets the kernel choose.
+    #[serde(default = "any_port")]
+    pub http_listen: SocketAddr,
+    /// Address for peers. Port 0 lets the kernel choose.
+    #[serde(default = "any_port")]
+    pub peer_listen: SocketAddr,
+    /// Address of the platform's table, object store and instance list.
+    pub platform_address: SmolStr,
+    /// First document of a new deployment. It is only used while the platform has none.
+    #[serde(default)]
+    pub first_document_file: Option<PathBuf>,
+    /// Largest body of a request.
+    #[serde(default = "default_max_body_bytes", deserialize_with = "positive_bytes")]
+    pub max_body_bytes: usize,
+    /// Longest time that a request may take, if the caller sets no deadline.
+    #[serde(default = "default_request_timeout_ms", deserialize_with = "request_timeout")]
+    pub request_timeout_ms: u64,
+    /// Longest wait of an interactive request for capacity.
+    #[serde(default = "default_interactive_queue_ms")]
+    pub interactive_queue_ms: u64,
+    /// Longest wait of a request on a waiting route for capacity.
+    #[serde(default = "default_waiting_queue_ms")]
+    pub waiting_queue_ms: u64,
+    /// How long callers may keep the answer of `/v1/addresses`.
+    #[serde(default = "default_addresses_ttl_ms")]
+    pub addresses_ttl_ms: u64,
+    /// Concurrent requests at which the instance reports full load.
+    #[serde(default = "default_max_requests")]
+    pub max_requests: u32,
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn default_max_body_bytes() -> usize {
+    4 << 20
+}
+
+fn default_request_timeout_ms() -> u64 {
+    120_000
+}
+
+fn default_interactive_queue_ms() -> u64 {
+    2_000
+}
+
+fn default_waiting_queue_ms() -> u64 {
+    30_000
+}
+
+fn default_addresses_ttl_ms() -> u64 {
+    2_000
+}
+
+fn default_max_requests() -> u32 {
+    512
+}
+
+fn positive_bytes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    in_range(usize::deserialize(deserializer)?, 1, 64 << 20, "bytes")
+}
+
+/// Refunds of older requests are worth nothing, so requests may not last longer.
+fn request_timeout<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    in_range(u64::deserialize(deserializer)?, 1, 600_000, "milliseconds")
+}
+
+fn in_range<T, E>(value: T, least: T, most: T, unit: &str) -> Result<T, E>
+where
+    T: PartialOrd + std::fmt::Display,
+    E: serde::de::Error,
+{
+    if value < least || value > most {
+        let message = format!("expected {least} to {most} {unit}, found {value}");
+        return Err(E::custom(message));
+    }
+    Ok(value)
+}
+
+/// Builds settings in code, for tests and experiments.
+#[derive(Clone, Debug)]
+pub struct GatewaySettingsBuilder {
+    settings: GatewaySettings,
+}
+
+impl GatewaySettingsBuilder {
+    pub fn new(instance: InstanceId, region: RegionId, zone: ZoneId) -> GatewaySettingsBuilder {
+        GatewaySettingsBuilder {
+            settings: GatewaySettings {
+                instance,
+                region,
+                zone,
+                http_listen: any_port(),
+                peer_listen: any_port(),
+                platform_address: SmolStr::default(),
+                first_document_file: None,
+                max_body_bytes: default_max_body_bytes(),
+                request_timeout_ms: default_request_timeout_ms(),
+                interactive_queue_ms: default_interactive_queue_ms(),
+                waiting_queue_ms: default_waiting_queue_ms(),
+                addresses_ttl_ms: default_addresses_ttl_ms(),
+                max_requests: default_max_requests(),
+                log: LogSettings::default(),
+            },
+        }
+    }
+
+    pub fn platform_address(mut self, address: impl Into<SmolStr>) -> GatewaySettingsBuilder {
+        self.settings.platform_address = address.into();
+        self
+    }
+
+    pub fn http_listen(mut self, address: SocketAddr) -> GatewaySettingsBuilder {
+        self.settings.http_listen = address;
+        self
+    }
+
+    pub fn peer_listen(mut self, address: SocketAddr) -> GatewaySettingsBuilder {
+        self.settings.peer_listen = address;
+        self
+    }
+
+    pub fn build(self) -> GatewaySettings {
+        self.settings
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,11 @@
+//! Settings files: JSON with comments, checked as a whole before anything starts.
+
+mod gateway_settings;
+mod load;
+mod log_settings;
+mod settings_error;
+
+pub use gateway_settings::{GatewaySettings, GatewaySettingsBuilder};
+pub use load::load_settings;
+pub use log_settings::{LogFormat, LogLevel, LogSettings};
+pub use settings_error::SettingsError;
