--- /dev/null
+++ b/src/pool/admitting.rs
@@ -0,0 +1,203 @@
+//! Queues admissions and reserves endpoints for them.
+
+use tokio::sync::oneshot;
+
+use crate::clock::Instant;
+use crate::pool::pool_state::PoolState;
+use crate::pool::prefill_queue::Job;
+use crate::pool::reservation::Reservation;
+use crate::pool::selection::{Blocked, Choice, Selection};
+use crate::pool::ticket::Ticket;
+use crate::pool::waiter::Waiter;
+use crate::pool::{Admission, AdmitAnswer, Class, Plan};
+
+impl PoolState {
+    /// The waiting class gets one admission in ten.
+    const MAX_INTERACTIVE_STREAK: u32 = 9;
+    const MAX_QUEUED: usize = 4096;
+    /// Blocked heads that are passed over in one pass; bounds the cost of a pass under overload.
+    const MAX_TRIED: usize = 16;
+    /// Puts an admission into the queue, or refuses it if its wait cannot be met.
+    pub fn enqueue(
+        &mut self,
+        admission: Admission,
+        queue_ms: u64,
+        answer: oneshot::Sender<AdmitAnswer>,
+        now: Instant,
+    ) -> Result<Ticket, Blocked> {
+        let is_served = self.selection(now).map(|selection| selection.check(&admission));
+        let (Some(model), Some(Ok(()))) = (&self.model, is_served) else {
+            return Err(Blocked::NoEndpoint);
+        };
+        let prefill_ms = Selection::prefill_ms(model, admission.prompt_tokens.get());
+        let is_long = prefill_ms >= Selection::LONG_PREFILL_MS;
+        let weight = self.weight(&admission.organisation);
+        let queue = &self.queues[admission.class as usize];
+        let wait_ms = queue.expected_wait_ms(&admission.organisation, weight).unwrap_or(0);
+        if wait_ms > queue_ms || queue.len() >= PoolState::MAX_QUEUED {
+            return Err(Blocked::Busy);
+        }
+        if is_long {
+            self.long_prefill_ms += prefill_ms as f64;
+        } else {
+            self.short_prefill_ms += prefill_ms as f64;
+        }
+        self.next_waiter += 1;
+        let ticket = Ticket {
+            class: admission.class,
+            organisation: admission.organisation.clone(),
+            attempt: admission.attempt.clone(),
+            id: self.next_waiter,
+            is_long,
+        };
+        let expires_at = now.plus_ms(queue_ms);
+        let id = ticket.id;
+        let waiter = Waiter { id, admission, queued_at: now, expires_at, is_long, answer };
+        self.queues[ticket.class as usize].push(waiter, weight);
+        Ok(ticket)
+    }
+
+    /// Removes an admission whose caller no longer waits.
+    pub fn abandon(&mut self, ticket: &Ticket) {
+        let queue = &mut self.queues[ticket.class as usize];
+        queue.take(&ticket.organisation, ticket.id, ticket.is_long);
+    }
+
+    /// Admits as many as the endpoints can take.
+    pub fn pump(&mut self, now: Instant) {
+        while self.serve_one(now) {}
+    }
+
+    fn serve_one(&mut self, now: Instant) -> bool {
+        let is_due = self.interactive_streak >= PoolState::MAX_INTERACTIVE_STREAK;
+        let order = if is_due {
+            [Class::Waiting, Class::Interactive]
+        } else {
+            [Class::Interactive, Class::Waiting]
+        };
+        for class in order {
+            let (id, result) = match self.next_of(class, now) {
+                Next::Serve(ticket, result) => (ticket, result),
+                // A large request that has waited long gets the memory that becomes free.
+                Next::HoldMemory => return false,
+                Next::Nothing => continue,
+            };
+            let queue = &mut self.queues[class as usize];
+            if let Some(waiter) = queue.take(&id.organisation, id.id, id.is_long) {
+                self.answer(waiter, result, now);
+            }
+            return true;
+        }
+        false
+    }
+
+    fn next_of(&self, class: Class, now: Instant) -> Next {
+        let queue = &self.queues[class as usize];
+        let Some(selection) = self.selection(now) else {
+            return Next::Nothing;
+        };
+        for (at, waiter) in queue.candidates(now).take(PoolState::MAX_TRIED).enumerate() {
+            let deadline = waiter.queued_at.plus_ms(waiter.admission.remaining_ms);
+            let result = match selection.select(&waiter.admission, deadline) {
+                Err(Blocked::Memory) if at == 0 && waiter.is_aged(now) => return Next::HoldMemory,
+                Err(Blocked::Memory | Blocked::Busy) => continue,
+                result => result,
+            };
+            let ticket = Ticket {
+                class,
+                organisation: waiter.admission.organisation.clone(),
+                attempt: waiter.admission.attempt.clone(),
+                id: waiter.id,
+                is_long: waiter.is_long,
+            };
+            return Next::Serve(ticket, result);
+        }
+        Next::Nothing
+    }
+
+    fn answer(&mut self, waiter: Waiter, result: Result<Choice, Blocked>, now: Instant) {
+        let request = &waiter.admission;
+        let answer = match result {
+            Ok(choice) => match self.reserve(request, &choice, now) {
+                Some(plan) => AdmitAnswer::Plan(plan),
+                None => AdmitAnswer::NoEndpoint,
+            },
+            Err(Blocked::NoEndpoint) => AdmitAnswer::NoEndpoint,
+            Err(_) => self.full(request.class, &request.organisation, now),
+        };
+        if waiter.answer.send(answer).is_err() {
+            self.release(&waiter.admission.attempt);
+        }
+    }
+
+    fn reserve(&mut self, request: &Admission, choice: &Choice, now: Instant) -> Option<Plan> {
+        let attempt = &request.attempt;
+        self.release(attempt);
+        self.ended.remove(attempt);
+        self.orphans.remove(attempt);
+        let Choice { transfer_starts_at, transfer_ms, transfer_bytes_per_s, .. } = *choice;
+        let prefill = self.endpoints.get_mut(&choice.prefill)?;
+        let prefill_address = prefill.entry.address.clone();
+        prefill.link.schedule(attempt, transfer_starts_at, transfer_ms, transfer_bytes_per_s);
+        prefill.prefills.add(
+            attempt,
+            Job {
+                ends_at: choice.prefill_ends_at,
+                is_long: choice.is_long,
+                is_suspect: request.is_suspect,
+            },
+        );
+        prefill.warm_up.note_used(prefill.used_slots(now));
+        let decode = self.endpoints.get_mut(&choice.decode)?;
+        let decode_address = decode.entry.address.clone();
+        decode.link.schedule(attempt, transfer_starts_at, transfer_ms, transfer_bytes_per_s);
+        decode.occupancy.add(attempt, choice.pieces, request.is_suspect);
+        decode.warm_up.note_used(decode.used_slots(now));
+        let memory = choice.pieces.get() as f64 / decode.entry.pieces.get().max(1) as f64;
+        let part = memory.max(1.0 / f64::from(decode.entry.slots.max(1)));
+        let reservation = Reservation {
+            organisation: request.organisation.clone(),
+            class: request.class,
+            prefill: choice.prefill.clone(),
+            decode: choice.decode.clone(),
+            admitted_at: now,
+            named_at: now,
+            output_tokens: Default::default(),
+            prefix_hashes: request.prefix_hashes.clone(),
+            prefill_cost: choice.prefill_ms as f64,
+            cost_per_output_token: part * Reservation::MS_PER_OUTPUT_TOKEN,
+            charged_tokens: request.max_output_tokens,
+        };
+        self.note_admitted(&reservation);
+        self.reservations.insert(attempt.clone(), reservation);
+        Some(Plan {
+            prefill: choice.prefill.clone(),
+            prefill_address,
+            decode: choice.decode.clone(),
+            decode_address,
+            start_after_ms: choice.start_after_ms,
+            // Three times the scheduled time: what takes longer than that has stalled.
+            transfer_limit_ms: transfer_ms.saturating_mul(3).saturating_add(100),
+            fencing: self.fencing,
+            free_slots: self.free_slots(now),
+        })
+    }
+
+    fn note_admitted(&mut self, reservation: &Reservation) {
+        let queue = &mut self.queues[reservation.class as usize];
+        queue.charge(&reservation.organisation, reservation.cost());
+        self.interactive_streak = match reservation.class {
+            Class::Interactive if !self.queues[Class::Waiting as usize].is_empty() => {
+                self.interactive_streak + 1
+            }
+            _ => 0,
+        };
+    }
+}
+
+/// Result of looking for the next admission of a class.
+enum Next {
+    Serve(Ticket, Result<Choice, Blocked>),
+    HoldMemory,
+    Nothing,
+}
--- /dev/null
+++ b/src/pool/engine_factory.rs
@@ -0,0 +1,16 @@
+use crate::engine::Engine;
+
+/// Makes the client of the engine at an address.
+pub trait EngineFactory: 'static {
+    type Engine: Engine;
+
+    fn engine(&self, address: &str) -> Self::Engine;
+}
+
+impl<E: Engine, F: Fn(&str) -> E + 'static> EngineFactory for F {
+    type Engine = E;
+
+    fn engine(&self, address: &str) -> E {
+        self(address)
+    }
+}
--- /dev/null
+++ b/src/pool/fair_queue.rs
@@ -0,0 +1,93 @@
+use std::collections::HashMap;
+
+use crate::clock::Instant;
+use crate::pool::drain_rate::DrainRate;
+use crate::pool::flow::Flow;
+use crate::pool::waiter::Waiter;
+use crate::units::OrganisationId;
+
+/// Weighted fair queue of one class: the organisation that has received least service for its
+/// weight is served next. Cost is charged at dispatch and corrected when the attempt ends.
+#[derive(Debug, Default)]
+pub(crate) struct FairQueue {
+    flows: HashMap<OrganisationId, Flow>,
+    /// Pass of the organisation served last. An organisation that was idle starts here and cannot
+    /// save up service.
+    virtual_time: f64,
+    drain: DrainRate,
+}
+
+impl FairQueue {
+    pub fn is_empty(&self) -> bool {
+        self.flows.values().all(Flow::is_empty)
+    }
+
+    pub fn len(&self) -> usize {
+        self.flows.values().map(Flow::len).sum()
+    }
+
+    pub fn push(&mut self, waiter: Waiter, weight: u32) {
+        let flow = self.flows.entry(waiter.admission.organisation.clone()).or_default();
+        if flow.is_empty() {
+            flow.pass = flow.pass.max(self.virtual_time);
+        }
+        flow.weight = f64::from(weight.max(1));
+        flow.push(waiter);
+    }
+
+    /// Heads of the backlogged organisations, the next to be served first.
+    pub fn candidates(&self, now: Instant) -> impl Iterator<Item = &Waiter> {
+        let mut flows: Vec<(&OrganisationId, &Flow)> =
+            self.flows.iter().filter(|(_, flow)| !flow.is_empty()).collect();
+        flows.sort_by(|(a, x), (b, y)| x.pass.total_cmp(&y.pass).then_with(|| a.cmp(b)));
+        flows.into_iter().flat_map(move |(_, flow)| flow.heads(now))
+    }
+
+    pub fn take(&mut self, organisation: &OrganisationId, id: u64, long: bool) -> Option<Waiter> {
+        self.flows.get_mut(organisation)?.remove(id, long)
+    }
+
+    pub fn charge(&mut self, organisation: &OrganisationId, cost: f64) {
+        self.drain.note_admitted();
+        if let Some(flow) = self.flows.get_mut(organisation) {
+            self.virtual_time = self.virtual_time.max(flow.pass);
+            flow.pass += cost / flow.weight;
+        }
+    }
+
+    /// Returns the part of a charge that was not used.
+    pub fn refund(&mut self, organisation: &OrganisationId, cost: f64) {
+        if let Some(flow) = self.flows.get_mut(organisation) {
+            flow.pass -= cost / flow.weight;
+        }
+    }
+
+    /// Expected wait of a new admission, if the queue has been backlogged for long enough to tell.
+    pub fn expected_wait_ms(&self, organisation: &OrganisationId, weight: u32) -> Option<u64> {
+        let per_s = self.drain.per_s()?;
+        let weight = f64::from(weight.max(1));
+        let others = self.flows.iter().filter(|(id, flow)| !flow.is_empty() && *id != organisation);
+        let weights = others.map(|(_, flow)| flow.weight).sum::<f64>() + weight;
+        let ahead = self.flows.get(organisation).map_or(0, Flow::len) + 1;
+        Some((ahead as f64 * weights / weight / per_s * 1000.0) as u64)
+    }
+
+    /// Measures the drain and removes what has expired.
+    pub fn tick(&mut self, now: Instant) -> Vec<Waiter> {
+        let is_backlogged = !self.is_empty();
+        self.drain.observe(is_backlogged, now);
+        let mut expired = Vec::new();
+        for flow in self.flows.values_mut() {
+            for (id, is_long) in flow.expired(now) {
+                expired.extend(flow.remove(id, is_long));
+            }
+        }
+        let virtual_time = self.virtual_time;
+        self.flows.retain(|_, flow| !flow.is_empty() || flow.pass > virtual_time);
+        expired
+    }
+
+    pub fn drain(&mut self) -> Vec<Waiter> {
+        self.flows.values_mut().flat_map(Flow::drain).collect()
+    }
+}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,5 +1,42 @@
 //! The owner of a pool of prefill and decode endpoints.
 
 mod admission;
+mod admit_answer;
+mod admitting;
+mod attempt_end;
+mod class;
+mod drain_rate;
+mod endpoint_ledger;
+mod endpoint_status;
+mod engine_factory;
+mod fair_queue;
+mod finished_attempt;
+mod flow;
+mod link;
+mod occupancy;
+mod plan;
+mod pool_error;
+mod pool_state;
+mod pools;
+mod prefill_queue;
+mod prefix_index;
+mod progress;
+mod reconciliation;
+mod reservation;
+mod selection;
+mod shard;
+mod ticket;
+mod waiter;
+mod warm_up;
 
-pub use admission::{Admission, AdmitAnswer, AttemptEnd, Class, FinishedAttempt, Plan, Progress};
+pub use admission::Admission;
+pub use admit_answer::AdmitAnswer;
+pub use attempt_end::AttemptEnd;
+pub use class::Class;
+pub use endpoint_status::EndpointStatus;
+pub use engine_factory::EngineFactory;
+pub use finished_attempt::FinishedAttempt;
+pub use plan::Plan;
+pub use pool_error::PoolError;
+pub use pools::Pools;
+pub use progress::Progress;
--- /dev/null
+++ b/src/pool/prefix_index.rs
@@ -0,0 +1,106 @@
+use std::collections::{HashMap, VecDeque};
+
+use crate::clock::Instant;
+use crate::units::{EndpointId, OrganisationId};
+
+/// Which prefill endpoints are believed to cache which prefixes, for each organisation. It is a
+/// hint: the engines' cache events come late and with gaps.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixIndex {
+    organisations: HashMap<OrganisationId, Prefixes>,
+    len: usize,
+}
+
+#[derive(Debug, Default)]
+struct Prefixes {
+    seen: HashMap<u64, Vec<(EndpointId, Instant)>>,
+    /// Hashes in the order of their first entry; may name some that were removed.
+    order: VecDeque<u64>,
+}
+
+impl PrefixIndex {
+    /// About 100 bytes each, 3 MB in all.
+    const MAX_PREFIXES: usize = 32_768;
+    /// Entries are not trusted for longer, since an event that removed them may have been lost.
+    const LIFETIME_MS: u64 = 120_000;
+    /// Endpoints kept for one prefix.
+    const MAX_ENDPOINTS: usize = 8;
+
+    pub fn store(
+        &mut self,
+        organisation: &OrganisationId,
+        hash: u64,
+        endpoint: &EndpointId,
+        now: Instant,
+    ) {
+        let prefixes = self.organisations.entry(organisation.clone()).or_default();
+        let endpoints = prefixes.seen.entry(hash).or_insert_with(|| {
+            self.len += 1;
+            prefixes.order.push_back(hash);
+            Vec::new()
+        });
+        endpoints.retain(|(known, _)| known != endpoint);
+        if endpoints.len() >= PrefixIndex::MAX_ENDPOINTS {
+            endpoints.remove(0);
+        }
+        endpoints.push((endpoint.clone(), now));
+        if self.len > PrefixIndex::MAX_PREFIXES {
+            self.evict();
+        }
+    }
+
+    pub fn remove(&mut self, organisation: &OrganisationId, hash: u64, endpoint: &EndpointId) {
+        if let Some(prefixes) = self.organisations.get_mut(organisation)
+            && let Some(endpoints) = prefixes.seen.get_mut(&hash)
+        {
+            endpoints.retain(|(known, _)| known != endpoint);
+        }
+    }
+
+    /// Number of leading prefixes that the endpoint is believed to cache.
+    pub fn hits(
+        &self,
+        organisation: &OrganisationId,
+        hashes: &[u64],
+        endpoint: &EndpointId,
+        now: Instant,
+    ) -> usize {
+        let Some(prefixes) = self.organisations.get(organisation) else {
+            return 0;
+        };
+        let is_cached = |hash: &u64| {
+            prefixes.seen.get(hash).is_some_and(|endpoints| {
+                endpoints.iter().any(|(known, at)| {
+                    known == endpoint && now.ms_since(*at) < PrefixIndex::LIFETIME_MS
+                })
+            })
+        };
+        hashes.iter().rposition(is_cached).map_or(0, |at| at + 1)
+    }
+
+    /// Forgets an endpoint whose process restarted.
+    pub fn forget_endpoint(&mut self, endpoint: &EndpointId) {
+        for prefixes in self.organisations.values_mut() {
+            for endpoints in prefixes.seen.values_mut() {
+                endpoints.retain(|(known, _)| known != endpoint);
+            }
+        }
+    }
+
+    /// Drops the oldest sixteenth of the organisation with the most prefixes, so that no
+    /// organisation displaces the others.
+    fn evict(&mut self) {
+        let largest = self.organisations.iter_mut().max_by_key(|(_, p)| p.seen.len());
+        let Some((_, prefixes)) = largest else {
+            return;
+        };
+        for _ in 0..prefixes.seen.len() / 16 + 1 {
+            if let Some(hash) = prefixes.order.pop_front()
+                && prefixes.seen.remove(&hash).is_some()
+            {
+                self.len -= 1;
+            }
+        }
+        self.organisations.retain(|_, prefixes| !prefixes.seen.is_empty());
+    }
+}
--- /dev/null
+++ b/src/pool/reconciliation.rs
@@ -0,0 +1,274 @@
+//! Keeps the ledger in step with the gateways' reports and the engines' lists.
+
+use std::collections::HashSet;
+
+use crate::clock::Instant;
+use crate::config::Role;
+use crate::engine::{CacheEvents, HeldAttempt};
+use crate::pool::endpoint_ledger::Health;
+use crate::pool::pool_state::PoolState;
+use crate::pool::reservation::Reservation;
+use crate::pool::{AttemptEnd, Class, FinishedAttempt, Progress};
+use crate::units::{AttemptId, EndpointId, OrganisationId, Pieces};
+
+impl PoolState {
+    /// A gateway cancels its own attempt when it ends; the owner does so only after this.
+    const CANCEL_AFTER_END_MS: u64 = 500;
+    const FORGET_AFTER_MS: u64 = 30_000;
+    /// Reports come each second, so a prefill is seen as done up to this late.
+    const PREFILL_LATE_MS: u64 = 1500;
+    /// Running attempts are evidence of a warm endpoint for this long after a takeover.
+    const REBUILD_MS: u64 = 2000;
+
+    pub fn finish(&mut self, finished: &FinishedAttempt, now: Instant) {
+        let attempt = &finished.attempt;
+        self.ended.insert(attempt.clone(), now);
+        self.orphans.remove(attempt);
+        let reservation = self.reservations.get(attempt).cloned();
+        if let Some(reservation) = &reservation {
+            if finished.output_tokens > reservation.output_tokens {
+                self.note_output(attempt, reservation, finished, now);
+            }
+            let unused = reservation.unused_cost(finished.output_tokens);
+            self.queues[reservation.class as usize].refund(&reservation.organisation, unused);
+        }
+        self.release(attempt);
+        let Some(id) = &finished.endpoint else { return };
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        match finished.end {
+            AttemptEnd::Failed => endpoint.warm_up.note_failure(),
+            AttemptEnd::EndpointDied => {
+                let admitted_at = reservation.map_or(now, |r| r.admitted_at);
+                if endpoint.note_death(admitted_at, now) {
+                    self.prefixes.forget_endpoint(id);
+                }
+            }
+            AttemptEnd::Completed | AttemptEnd::Cancelled | AttemptEnd::PrefillWasted => {}
+        }
+    }
+
+    fn note_output(
+        &mut self,
+        attempt: &AttemptId,
+        reservation: &Reservation,
+        finished: &FinishedAttempt,
+        now: Instant,
+    ) {
+        let was_seen = reservation.output_tokens.get() > 0;
+        if !was_seen {
+            self.note_prefilled(attempt, now);
+        }
+        let tokens = (finished.output_tokens - reservation.output_tokens).get();
+        let elapsed_ms =
+            if was_seen { now.ms_since(reservation.named_at) } else { finished.decode_ms };
+        if let Some(decode) = self.endpoints.get_mut(&reservation.decode) {
+            decode.warm_up.note_tokens(tokens, elapsed_ms);
+            decode.warm_up.note_success();
+        }
+    }
+
+    /// Takes a live attempt from its gateway's report.
+    pub fn note_progress(&mut self, progress: &Progress, now: Instant) {
+        let attempt = &progress.attempt;
+        if self.ended.contains_key(attempt) {
+            return;
+        }
+        self.orphans.remove(attempt);
+        let Some(reservation) = self.reservations.get_mut(attempt) else {
+            return self.rebuild(progress, now);
+        };
+        let before = reservation.output_tokens;
+        reservation.output_tokens = before.max(progress.output_tokens);
+        let elapsed_ms = now.ms_since(reservation.named_at);
+        reservation.named_at = now;
+        let decode = reservation.decode.clone();
+        if before.get() == 0 {
+            if progress.output_tokens.get() > 0 {
+                self.note_prefilled(attempt, now);
+            }
+        } else if progress.output_tokens >= before
+            && let Some(decode) = self.endpoints.get_mut(&decode)
+        {
+            decode.warm_up.note_tokens((progress.output_tokens - before).get(), elapsed_ms);
+        }
+    }
+
+    /// The first output shows that the prefill is done and its prefixes are cached.
+    fn note_prefilled(&mut self, attempt: &AttemptId, now: Instant) {
+        let Some(reservation) = self.reservations.get(attempt) else { return };
+        for id in [&reservation.prefill, &reservation.decode] {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.link.remove(attempt);
+            }
+        }
+        if let Some(prefill) = self.endpoints.get_mut(&reservation.prefill)
+            && let Some(job) = prefill.prefills.remove(attempt)
+        {
+            if now <= job.ends_at.plus_ms(PoolState::PREFILL_LATE_MS) {
+                prefill.warm_up.note_success();
+            } else {
+                prefill.warm_up.note_failure();
+            }
+        }
+        for hash in &reservation.prefix_hashes {
+            let (organisation, prefill) = (&reservation.organisation, &reservation.prefill);
+            self.prefixes.store(organisation, *hash, prefill, now);
+        }
+    }
+
+    /// Reserves for an attempt that a previous owner admitted.
+    fn rebuild(&mut self, progress: &Progress, now: Instant) {
+        let takeover_ends = self.nothing_freed_before.plus_ms(PoolState::REBUILD_MS);
+        if let Some(decode) = self.endpoints.get_mut(&progress.decode) {
+            let pieces = progress.pieces.max(Pieces(1));
+            decode.occupancy.add(&progress.attempt, pieces, false);
+            if now < takeover_ends && decode.health != Health::Down {
+                decode.warm_up.note_running(decode.occupancy.used_slots());
+            }
+        }
+        if now < takeover_ends
+            && progress.output_tokens.get() > 0
+            && let Some(prefill) = self.endpoints.get_mut(&progress.prefill)
+        {
+            prefill.note_earlier_prefill();
+        }
+        let reservation = Reservation {
+            organisation: progress.organisation.clone(),
+            class: Class::default(),
+            prefill: progress.prefill.clone(),
+            decode: progress.decode.clone(),
+            admitted_at: now,
+            named_at: now,
+            output_tokens: progress.output_tokens,
+            prefix_hashes: Vec::new(),
+            prefill_cost: 0.0,
+            cost_per_output_token: 0.0,
+            charged_tokens: Default::default(),
+        };
+        self.reservations.insert(progress.attempt.clone(), reservation);
+    }
+
+    /// Ends the reservations that no report has named, and returns what to cancel. The memory
+    /// stays reserved until the engine has confirmed the cancellation.
+    pub fn take_silent(&mut self, now: Instant) -> Vec<(EndpointId, AttemptId)> {
+        if now < self.nothing_freed_before {
+            return Vec::new();
+        }
+        let is_silent = |r: &Reservation| now.ms_since(r.named_at) >= PoolState::SILENCE_MS;
+        let silent = self.reservations.extract_if(|_, reservation| is_silent(reservation));
+        let silent: Vec<(AttemptId, Reservation)> = silent.collect();
+        let mut cancels = Vec::new();
+        for (attempt, reservation) in silent {
+            log::info!(target: "pool", "attempt {attempt} is in no report; cancelling it");
+            self.orphans.insert(attempt.clone(), reservation.named_at);
+            for id in [&reservation.prefill, &reservation.decode] {
+                let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
+                endpoint.prefills.remove(&attempt);
+                endpoint.link.remove(&attempt);
+                if endpoint.health == Health::Down {
+                    endpoint.occupancy.remove(&attempt);
+                } else {
+                    cancels.push((id.clone(), attempt.clone()));
+                }
+            }
+        }
+        cancels
+    }
+
+    /// Compares an endpoint's list, requested at `sent_at`, with the ledger. Returns the attempts
+    /// to cancel there.
+    pub fn reconcile(
+        &mut self,
+        id: &EndpointId,
+        held: &[HeldAttempt],
+        sent_at: Instant,
+        now: Instant,
+    ) -> Vec<AttemptId> {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return Vec::new() };
+        let mut cancels = Vec::new();
+        for HeldAttempt { attempt, pieces } in held {
+            if self.reservations.contains_key(attempt) {
+                continue;
+            }
+            let is_over = match self.ended.get(attempt) {
+                Some(ended_at) if now.ms_since(*ended_at) < PoolState::CANCEL_AFTER_END_MS => {
+                    continue;
+                }
+                Some(_) => true,
+                None => {
+                    let since = *self.orphans.entry(attempt.clone()).or_insert(now);
+                    let is_silent = now.ms_since(since) >= PoolState::SILENCE_MS;
+                    is_silent && now >= self.nothing_freed_before
+                }
+            };
+            if endpoint.entry.role == Role::Decode && !endpoint.occupancy.contains(attempt) {
+                endpoint.occupancy.add(attempt, *pieces, false);
+            }
+            if is_over {
+                cancels.push(attempt.clone());
+            }
+        }
+        let held: HashSet<&AttemptId> = held.iter().map(|held| &held.attempt).collect();
+        let is_gone = |attempt: &&AttemptId| {
+            !held.contains(attempt)
+                && !self.reservations.contains_key(attempt)
+                && self.orphans.get(attempt).is_none_or(|since| *since < sent_at)
+        };
+        let gone: Vec<AttemptId> = endpoint.occupancy.attempts().filter(is_gone).cloned().collect();
+        for attempt in &gone {
+            endpoint.occupancy.remove(attempt);
+        }
+        cancels
+    }
+
+    /// Whether the attempt is still to be cancelled: a report may have named it since.
+    pub fn may_cancel(&self, attempt: &AttemptId) -> bool {
+        !self.reservations.contains_key(attempt)
+    }
+
+    pub fn note_cancelled(&mut self, id: &EndpointId, attempt: &AttemptId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id)
+            && !self.reservations.contains_key(attempt)
+        {
+            endpoint.occupancy.remove(attempt);
+        }
+    }
+
+    pub fn note_probe_failure(&mut self, id: &EndpointId) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        if endpoint.note_probe_failure() {
+            // A process that is gone holds nothing; if it is only cut off, its next list brings
+            // these attempts back.
+            let unowned = |attempt: &&AttemptId| !self.reservations.contains_key(attempt);
+            let gone: Vec<AttemptId> =
+                endpoint.occupancy.attempts().filter(unowned).cloned().collect();
+            gone.iter().for_each(|attempt| endpoint.occupancy.remove(attempt));
+        }
+    }
+
+    pub fn note_cache_events(&mut self, id: &EndpointId, events: &CacheEvents, now: Instant) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        if events.last_sequence < endpoint.cache_sequence {
+            // The numbers start again: the process restarted with an empty cache.
+            self.prefixes.forget_endpoint(id);
+        }
+        endpoint.cache_sequence = events.last_sequence;
+        for event in &events.events {
+            let organisation = OrganisationId::new(event.scope.clone());
+            if event.stored {
+                self.prefixes.store(&organisation, event.prefix_hash, id, now);
+            } else {
+                self.prefixes.remove(&organisation, event.prefix_hash, id);
+            }
+        }
+    }
+
+    pub(super) fn forget_old(&mut self, now: Instant) {
+        let is_recent = |at: &Instant| now.ms_since(*at) < PoolState::FORGET_AFTER_MS;
+        self.ended.retain(|_, ended_at| is_recent(ended_at));
+        let endpoints = &self.endpoints;
+        self.orphans.retain(|attempt, since| {
+            is_recent(since) || endpoints.values().any(|e| e.occupancy.contains(attempt))
+        });
+    }
+}
--- /dev/null
+++ b/src/pool/reservation.rs
@@ -0,0 +1,36 @@
+use crate::clock::Instant;
+use crate::pool::Class;
+use crate::units::{EndpointId, OrganisationId, Tokens};
+
+/// An admitted attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    pub organisation: OrganisationId,
+    pub class: Class,
+    pub prefill: EndpointId,
+    pub decode: EndpointId,
+    pub admitted_at: Instant,
+    /// Last time that a report named the attempt, or its admission.
+    pub named_at: Instant,
+    pub output_tokens: Tokens,
+    pub prefix_hashes: Vec<u64>,
+    /// Cost without output.
+    pub prefill_cost: f64,
+    pub cost_per_output_token: f64,
+    /// Output that was charged to the organisation at admission.
+    pub charged_tokens: Tokens,
+}
+
+impl Reservation {
+    /// The target between tokens: how long an output token keeps its slot and memory.
+    pub const MS_PER_OUTPUT_TOKEN: f64 = 64.0;
+
+    /// Part of the charged cost that an attempt with this output did not use.
+    pub fn unused_cost(&self, output: Tokens) -> f64 {
+        (self.charged_tokens - output).get() as f64 * self.cost_per_output_token
+    }
+
+    pub fn cost(&self) -> f64 {
+        self.prefill_cost + self.charged_tokens.get() as f64 * self.cost_per_output_token
+    }
+}
--- /dev/null
+++ b/src/pool/selection.rs
@@ -0,0 +1,209 @@
+use std::collections::BTreeMap;
+
+use crate::clock::Instant;
+use crate::config::{Model, Role};
+use crate::pool::Admission;
+use crate::pool::endpoint_ledger::EndpointLedger;
+use crate::pool::link::Link;
+use crate::pool::prefix_index::PrefixIndex;
+use crate::units::{EndpointId, Pieces, ZoneId};
+
+/// Selects the prefill and decode pair for a request.
+pub(crate) struct Selection<'a> {
+    pub model: &'a Model,
+    pub endpoints: &'a BTreeMap<EndpointId, EndpointLedger>,
+    pub prefixes: &'a PrefixIndex,
+    /// Part of the recent prefill work that came from short prompts.
+    pub short_share: f64,
+    pub now: Instant,
+}
+
+/// A pair and its schedule.
+#[derive(Clone, Debug)]
+pub(crate) struct Choice {
+    pub prefill: EndpointId,
+    pub decode: EndpointId,
+    pub pieces: Pieces,
+    pub prefill_ms: u64,
+    pub prefill_ends_at: Instant,
+    pub is_long: bool,
+    pub start_after_ms: u64,
+    pub transfer_starts_at: Instant,
+    pub transfer_ms: u64,
+    pub transfer_bytes_per_s: u64,
+    /// Estimated time of the first token, with the cost of crossing zones.
+    score_ms: u64,
+    /// Work before it on the prefill endpoint.
+    queued_ms: u64,
+}
+
+/// Why no pair was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Blocked {
+    /// A slot is free, but not enough memory.
+    Memory,
+    Busy,
+    /// The caller's deadline cannot be met.
+    TooLate,
+    NoEndpoint,
+}
+
+impl Selection<'_> {
+    /// A prompt that takes longer would use most of the first token's target of 340 ms of a short
+    /// prompt behind it.
+    pub const LONG_PREFILL_MS: u64 = 200;
+    /// Later work stays in the fair queue, where its order can still change.
+    const MAX_BACKLOG_MS: u64 = 300;
+    /// A prefill result is kept for under 1 s; it may wait this long for the link.
+    const MAX_RESULT_WAIT_MS: u64 = 200;
+    const CROSSING_MS: u64 = 10;
+    /// Crossing a zone to the decode endpoint weighs as much as this part of its slots.
+    const CROSSING_FILL: f64 = 0.1;
+
+    pub fn select(&self, request: &Admission, deadline: Instant) -> Result<Choice, Blocked> {
+        let pieces = self.pieces(request);
+        self.check_endpoints(request, pieces)?;
+        let decode = self.decode(request, pieces)?;
+        let candidates = self.usable(request, Role::Prefill);
+        let choices = candidates.filter_map(|(id, e)| self.pair(request, (id, e), decode, pieces));
+        let choice = choices
+            .min_by_key(|choice| (choice.score_ms, choice.queued_ms))
+            .ok_or(Blocked::Busy)?;
+        if choice.transfer_starts_at.plus_ms(choice.transfer_ms) > deadline {
+            return Err(Blocked::TooLate);
+        }
+        Ok(choice)
+    }
+
+    /// Time to compute `tokens` on a warm engine.
+    pub fn prefill_ms(model: &Model, tokens: u64) -> u64 {
+        tokens.saturating_mul(model.prefill_us_per_token).div_ceil(1000)
+    }
+
+    fn pieces(&self, request: &Admission) -> Pieces {
+        let tokens = (request.prompt_tokens + request.max_output_tokens).get();
+        Pieces(tokens.div_ceil(self.model.tokens_per_piece.get().max(1)).max(1))
+    }
+
+    /// Whether the pool could serve the request at all, whatever its load.
+    pub fn check_endpoints(&self, request: &Admission, pieces: Pieces) -> Result<(), Blocked> {
+        let has = |role: Role, least: Pieces| {
+            self.endpoints.iter().any(|(id, e)| {
+                e.entry.role == role
+                    && e.may_open()
+                    && e.entry.pieces >= least
+                    && !request.avoid.contains(id)
+            })
+        };
+        let is_served = has(Role::Decode, pieces) && has(Role::Prefill, Pieces(0));
+        if is_served { Ok(()) } else { Err(Blocked::NoEndpoint) }
+    }
+
+    pub fn check(&self, request: &Admission) -> Result<(), Blocked> {
+        self.check_endpoints(request, self.pieces(request))
+    }
+
+    /// Endpoints of the role with a free slot that may run the request.
+    fn usable<'b>(
+        &'b self,
+        request: &'b Admission,
+        role: Role,
+    ) -> impl Iterator<Item = (&'b EndpointId, &'b EndpointLedger)> {
+        self.endpoints.iter().filter(move |(id, e)| {
+            e.entry.role == role
+                && e.is_open()
+                && e.free_slots(self.now) > 0
+                && !(request.is_suspect && e.has_suspect())
+                && !request.avoid.contains(id)
+        })
+    }
+
+    fn decode<'b>(
+        &'b self,
+        request: &'b Admission,
+        pieces: Pieces,
+    ) -> Result<(&'b EndpointId, &'b EndpointLedger), Blocked> {
+        let fill = |e: &EndpointLedger| {
+            let slots = f64::from(e.used_slots(self.now) + 1) / f64::from(e.warm_up.limit().max(1));
+            let used = (e.occupancy.used_pieces() + pieces).get() as f64;
+            let memory = used / e.entry.pieces.get().max(1) as f64;
+            slots.max(memory) + Self::CROSSING_FILL * crossing(&e.entry.zone, &request.zone) as f64
+        };
+        let mut has_slot = false;
+        self.usable(request, Role::Decode)
+            .inspect(|_| has_slot = true)
+            .filter(|(_, e)| e.free_pieces() >= pieces)
+            .min_by(|(_, a), (_, b)| fill(a).total_cmp(&fill(b)))
+            .ok_or(())
+            .map_err(|()| if has_slot { Blocked::Memory } else { Blocked::Busy })
+    }
+
+    fn pair(
+        &self,
+        request: &Admission,
+        (prefill_id, prefill): (&EndpointId, &EndpointLedger),
+        (decode_id, decode): (&EndpointId, &EndpointLedger),
+        pieces: Pieces,
+    ) -> Option<Choice> {
+        let prefill_ms = Self::prefill_ms(self.model, self.uncached(request, prefill_id));
+        let is_long = prefill_ms >= Self::LONG_PREFILL_MS;
+        let starts_at = prefill.prefills.ends_at(self.now);
+        let is_behind = starts_at > self.now.plus_ms(Self::MAX_BACKLOG_MS);
+        if is_behind || (is_long && !self.may_run_long(prefill)) {
+            return None;
+        }
+        let ends_at = starts_at.plus_ms(prefill_ms);
+        let bytes = request.prompt_tokens.get().saturating_mul(self.model.kv_bytes_per_token);
+        let (rate, transfer_ms) = Link::transfer_between(&prefill.link, &decode.link, bytes);
+        let transfer_starts_at =
+            Link::earliest_start(&prefill.link, &decode.link, ends_at, rate, transfer_ms);
+        let start_after_ms =
+            transfer_starts_at.ms_since(ends_at).saturating_sub(Self::MAX_RESULT_WAIT_MS);
+        if start_after_ms > Self::MAX_BACKLOG_MS {
+            return None;
+        }
+        let crossings = crossing(&prefill.entry.zone, &decode.entry.zone)
+            + crossing(&prefill.entry.zone, &request.zone);
+        let ready_ms = transfer_starts_at.plus_ms(transfer_ms).ms_since(self.now);
+        Some(Choice {
+            prefill: prefill_id.clone(),
+            decode: decode_id.clone(),
+            pieces,
+            prefill_ms,
+            prefill_ends_at: ends_at.plus_ms(start_after_ms),
+            is_long,
+            start_after_ms,
+            transfer_starts_at,
+            transfer_ms,
+            transfer_bytes_per_s: rate,
+            queued_ms: starts_at.ms_since(self.now),
+            score_ms: ready_ms + crossings * Self::CROSSING_MS,
+        })
+    }
+
+    /// Tokens to compute. The request's hashes are taken to be of equal parts of the prompt.
+    fn uncached(&self, request: &Admission, endpoint: &EndpointId) -> u64 {
+        let hashes = &request.prefix_hashes;
+        let hits = self.prefixes.hits(&request.organisation, hashes, endpoint, self.now) as u64;
+        let tokens = request.prompt_tokens.get();
+        // The last token is always computed.
+        (tokens - tokens * hits / (hashes.len() as u64).max(1)).max(1)
+    }
+
+    /// While short prompts come, long ones leave them a part of the endpoints that corresponds to
+    /// their part of the work.
+    fn may_run_long(&self, endpoint: &EndpointLedger) -> bool {
+        let is_open = |e: &&EndpointLedger| e.entry.role == Role::Prefill && e.is_open();
+        let open = self.endpoints.values().filter(is_open).count();
+        if open < 2 || self.short_share <= 0.0 || endpoint.prefills.has_long(self.now) {
+            return true;
+        }
+        let kept = ((open as f64 * self.short_share).ceil() as usize).clamp(1, open - 1);
+        let with_long = self.endpoints.values().filter(is_open);
+        with_long.filter(|e| e.prefills.has_long(self.now)).count() < open - kept
+    }
+}
+
+fn crossing(a: &ZoneId, b: &ZoneId) -> u64 {
+    u64::from(a != b)
+}
--- /dev/null
+++ b/src/pool/shard.rs
@@ -0,0 +1,297 @@
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock::{Clock, Instant};
+use crate::config::{Document, Role};
+use crate::engine::{Engine, EngineError, HeldAttempt, Order, OrderRequest};
+use crate::pool::endpoint_ledger::Health;
+use crate::pool::pool_state::PoolState;
+use crate::pool::selection::Blocked;
+use crate::pool::ticket::Ticket;
+use crate::pool::{Admission, AdmitAnswer, EngineFactory, PoolError};
+use crate::units::{AttemptId, EndpointId, Fencing, ShardId};
+
+/// A pool that this instance owns: its state and the calls to its engines.
+pub(crate) struct Shard<E, C> {
+    pub state: RefCell<PoolState>,
+    clock: C,
+    fencing: Fencing,
+    engines: RefCell<HashMap<EndpointId, (SmolStr, E)>>,
+    lease_deadline: Cell<Instant>,
+    /// Orders to engines that check no fencing number wait until then.
+    orders_after: Instant,
+    is_lost: Cell<bool>,
+    probing: RefCell<HashSet<EndpointId>>,
+    cancelling: RefCell<HashSet<(EndpointId, AttemptId)>>,
+    last_tick: Cell<Instant>,
+    next_check: Cell<Instant>,
+    next_second: Cell<Instant>,
+}
+
+impl<E: Engine, C: Clock> Shard<E, C> {
+    /// Orders of the previous owner can be in flight for this long after its lease ended.
+    const COMMAND_TIMEOUT_MS: u64 = 2000;
+    const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+    /// With a silence of 3 s, a check period of 250 ms and three calls of 500 ms, memory is free
+    /// within 5 s although two cancellations are lost.
+    const CHECK_MS: u64 = 250;
+    const MAX_CANCELS: u32 = 3;
+    /// After a longer pause of this process, the reports that came meanwhile are still unread.
+    const PAUSE_MS: u64 = 1000;
+
+    pub fn new(id: ShardId, fencing: Fencing, previous_end: Instant, clock: C) -> Shard<E, C> {
+        let now = clock.now();
+        Shard {
+            state: RefCell::new(PoolState::new(id, fencing, now)),
+            clock,
+            fencing,
+            engines: RefCell::default(),
+            lease_deadline: Cell::default(),
+            orders_after: previous_end.plus_ms(Self::COMMAND_TIMEOUT_MS),
+            is_lost: Cell::new(false),
+            probing: RefCell::default(),
+            cancelling: RefCell::default(),
+            last_tick: Cell::new(now),
+            next_check: Cell::new(now),
+            next_second: Cell::new(now),
+        }
+    }
+
+    pub fn set_document<F: EngineFactory<Engine = E>>(&self, document: Rc<Document>, factory: &F) {
+        let mut state = self.state.borrow_mut();
+        state.set_document(document);
+        let mut engines = self.engines.borrow_mut();
+        engines.retain(|id, (address, _)| {
+            state.endpoints.get(id).is_some_and(|e| e.entry.address == *address)
+        });
+        for (id, endpoint) in &state.endpoints {
+            let address = &endpoint.entry.address;
+            engines.entry(id.clone()).or_insert_with(|| (address.clone(), factory.engine(address)));
+        }
+        drop(state);
+        self.pump();
+    }
+
+    pub fn lose(&self) {
+        self.is_lost.set(true);
+        self.refuse_waiting();
+    }
+
+    /// Admits what the endpoints can take, while the lease is held.
+    pub fn pump(&self) {
+        if self.is_held() {
+            self.state.borrow_mut().pump(self.clock.now());
+        }
+    }
+
+    pub fn is_held(&self) -> bool {
+        !self.is_lost.get() && self.clock.now() < self.lease_deadline.get()
+    }
+
+    pub async fn admit(&self, admission: Admission, lease_deadline: Instant) -> AdmitAnswer {
+        self.lease_deadline.set(self.lease_deadline.get().max(lease_deadline));
+        if !self.is_held() {
+            return AdmitAnswer::NotHolder(None);
+        }
+        let queue_ms = admission.queue_ms.min(admission.remaining_ms);
+        let (sender, receiver) = oneshot::channel();
+        let now = self.clock.now();
+        let (class, organisation) = (admission.class, admission.organisation.clone());
+        let queued = self.state.borrow_mut().enqueue(admission, queue_ms, sender, now);
+        let ticket = match queued {
+            Ok(ticket) => ticket,
+            Err(Blocked::NoEndpoint) => return AdmitAnswer::NoEndpoint,
+            Err(_) => return self.state.borrow().full(class, &organisation, now),
+        };
+        let mut waiting = Waiting { state: &self.state, ticket, receiver };
+        self.pump();
+        let answer = timeout(Duration::from_millis(queue_ms), &mut waiting.receiver).await;
+        if !self.is_held() {
+            waiting.release();
+            return AdmitAnswer::NotHolder(None);
+        }
+        match answer {
+            Ok(answer) => answer.unwrap_or(AdmitAnswer::NotHolder(None)),
+            Err(_) => waiting.receiver.try_recv().unwrap_or_else(|_| {
+                self.state.borrow().full(class, &organisation, self.clock.now())
+            }),
+        }
+    }
+
+    /// Periodic work. `lease_deadline` is `None` if the lease has lapsed.
+    pub fn tick(self: &Rc<Self>, lease_deadline: Option<Instant>) {
+        self.lease_deadline.set(lease_deadline.unwrap_or_default());
+        let now = self.clock.now();
+        if now.ms_since(self.last_tick.replace(now)) > Self::PAUSE_MS {
+            let until = now.plus_ms(PoolState::SILENCE_MS);
+            self.state.borrow_mut().nothing_freed_before = until;
+        }
+        if !self.is_held() {
+            return self.refuse_waiting();
+        }
+        let is_second = now >= self.next_second.get();
+        if is_second {
+            self.next_second.set(now.plus_ms(1000));
+            self.state.borrow_mut().tick(now);
+        }
+        if is_second || now >= self.next_check.get() {
+            self.next_check.set(now.plus_ms(Self::CHECK_MS));
+            let silent = self.state.borrow_mut().take_silent(now);
+            silent.into_iter().for_each(|(id, attempt)| self.spawn_cancel(id, attempt));
+            self.spawn_probes(is_second);
+        }
+        self.state.borrow_mut().drop_expired(now);
+        self.pump();
+    }
+
+    /// Sends an order under this owner's fencing number.
+    pub async fn order(&self, id: &EndpointId, order: Order) -> Result<(), PoolError> {
+        let unknown = || PoolError::UnknownEndpoint { endpoint: id.clone() };
+        let checks_fencing = {
+            let state = self.state.borrow();
+            state.endpoints.get(id).ok_or_else(unknown)?.entry.checks_fencing
+        };
+        if !checks_fencing {
+            tokio::time::sleep(self.orders_after.remaining(self.clock.now())).await;
+        }
+        if !self.is_held() {
+            return Err(PoolError::NotHolder);
+        }
+        let engine = self.engine(id).ok_or_else(unknown)?;
+        let request = OrderRequest { fencing: self.fencing, order };
+        let limit = Duration::from_millis(Self::COMMAND_TIMEOUT_MS);
+        let result = timeout(limit, engine.order(&request)).await;
+        if !self.is_held() {
+            return Err(PoolError::NotHolder);
+        }
+        Ok(result.map_err(|_| PoolError::TimedOut)??)
+    }
+
+    fn refuse_waiting(&self) {
+        for waiter in self.state.borrow_mut().drain_queues() {
+            // The caller may have given up.
+            let _ = waiter.answer.send(AdmitAnswer::NotHolder(None));
+        }
+    }
+
+    fn engine(&self, id: &EndpointId) -> Option<E> {
+        self.engines.borrow().get(id).map(|(_, engine)| engine.clone())
+    }
+
+    /// Probes all endpoints each second, and those that are not up at each check.
+    fn spawn_probes(self: &Rc<Self>, is_second: bool) {
+        let state = self.state.borrow();
+        for (id, endpoint) in &state.endpoints {
+            let is_due = is_second || endpoint.health != Health::Up;
+            if is_due && self.probing.borrow_mut().insert(id.clone()) {
+                let (shard, id) = (self.clone(), id.clone());
+                spawn_local(async move {
+                    shard.probe(&id).await;
+                    shard.probing.borrow_mut().remove(&id);
+                });
+            }
+        }
+    }
+
+    async fn probe(self: &Rc<Self>, id: &EndpointId) {
+        let Some(engine) = self.engine(id) else { return };
+        let sent_at = self.clock.now();
+        let held = call(engine.held()).await;
+        let is_up = held.is_some() || call(engine.load()).await.is_some();
+        if !self.is_held() {
+            return;
+        }
+        if !is_up {
+            return self.state.borrow_mut().note_probe_failure(id);
+        }
+        self.note_answer(id, held, sent_at);
+        let (is_prefill, after) = match self.state.borrow().endpoints.get(id) {
+            Some(e) => (e.entry.role == Role::Prefill, e.cache_sequence),
+            None => return,
+        };
+        if is_prefill && let Some(events) = call(engine.cache_events(after)).await {
+            self.state.borrow_mut().note_cache_events(id, &events, self.clock.now());
+        }
+    }
+
+    fn note_answer(
+        self: &Rc<Self>,
+        id: &EndpointId,
+        held: Option<Vec<HeldAttempt>>,
+        sent_at: Instant,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        // What it holds is counted before new work is admitted.
+        let cancels = held.map(|held| state.reconcile(id, &held, sent_at, now));
+        if let Some(endpoint) = state.endpoints.get_mut(id) {
+            endpoint.note_probe_answer(sent_at);
+        }
+        drop(state);
+        self.pump();
+        for attempt in cancels.unwrap_or_default() {
+            self.spawn_cancel(id.clone(), attempt);
+        }
+    }
+
+    fn spawn_cancel(self: &Rc<Self>, id: EndpointId, attempt: AttemptId) {
+        let key = (id, attempt);
+        if self.cancelling.borrow_mut().insert(key.clone()) {
+            let shard = self.clone();
+            spawn_local(async move {
+                shard.cancel(&key.0, &key.1).await;
+                shard.cancelling.borrow_mut().remove(&key);
+            });
+        }
+    }
+
+    async fn cancel(&self, id: &EndpointId, attempt: &AttemptId) {
+        let Some(engine) = self.engine(id) else { return };
+        for _ in 0..Self::MAX_CANCELS {
+            if !self.is_held() || !self.state.borrow().may_cancel(attempt) {
+                return;
+            }
+            let result = timeout(Self::CALL_TIMEOUT, engine.cancel(attempt)).await;
+            if let Ok(Ok(()) | Err(EngineError::UnknownAttempt)) = result {
+                self.state.borrow_mut().note_cancelled(id, attempt);
+                return self.pump();
+            }
+        }
+        log::warn!(target: "pool", "endpoint {id} did not confirm the cancellation of {attempt}");
+    }
+}
+
+/// Result of a call to an engine, `None` if it failed or did not answer in time.
+async fn call<T>(answer: impl Future<Output = Result<T, EngineError>>) -> Option<T> {
+    timeout(Duration::from_millis(500), answer).await.ok()?.ok()
+}
+
+/// Leaves the queue when the caller gives up, and frees a plan that it did not take.
+struct Waiting<'a> {
+    state: &'a RefCell<PoolState>,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<AdmitAnswer>,
+}
+
+impl Waiting<'_> {
+    fn release(&self) {
+        self.state.borrow_mut().release(&self.ticket.attempt);
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Ok(AdmitAnswer::Plan(_)) = self.receiver.try_recv() {
+            self.release();
+        }
+        self.state.borrow_mut().abandon(&self.ticket);
+    }
+}
--- /dev/null
+++ b/src/pool/warm_up.rs
@@ -0,0 +1,116 @@
+/// Slots that an endpoint may use, by the capacity that it has demonstrated.
+#[derive(Clone, Debug)]
+pub(crate) struct WarmUp {
+    limit: u32,
+    slots: u32,
+    tokens: u64,
+    attempt_ms: u64,
+    successes: u32,
+    failures: u32,
+    peak_used: u32,
+    /// Moving average of one attempt's tokens per second.
+    usual_tokens_per_s: Option<f64>,
+}
+
+impl WarmUp {
+    const COLD_SLOTS: u32 = 2;
+    /// One token each 64 ms, the target between tokens.
+    const TARGET_TOKENS_PER_S: f64 = 1000.0 / 64.0;
+    /// A batch that grows within its slots slows an attempt by less than this.
+    const DROP_SHARE: f64 = 0.35;
+    /// Shorter observations vary too much with the gateways' report times.
+    const LEAST_OBSERVED_MS: u64 = 300;
+
+    pub fn new(slots: u32) -> WarmUp {
+        WarmUp {
+            limit: slots.min(WarmUp::COLD_SLOTS),
+            slots,
+            tokens: 0,
+            attempt_ms: 0,
+            successes: 0,
+            failures: 0,
+            peak_used: 0,
+            usual_tokens_per_s: None,
+        }
+    }
+
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    pub fn is_warm(&self) -> bool {
+        self.limit >= self.slots
+    }
+
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+        self.limit = self.limit.clamp(slots.min(WarmUp::COLD_SLOTS), slots);
+    }
+
+    /// Back to cold.
+    pub fn restart(&mut self) {
+        self.limit = self.slots.min(WarmUp::COLD_SLOTS);
+        self.clear_window();
+    }
+
+    pub fn note_used(&mut self, used: u32) {
+        self.peak_used = self.peak_used.max(used);
+    }
+
+    /// Attempts that a new owner finds running show that the endpoint can handle them.
+    pub fn note_running(&mut self, used: u32) {
+        self.limit = self.limit.max(used.min(self.slots));
+    }
+
+    pub fn note_tokens(&mut self, tokens: u64, elapsed_ms: u64) {
+        self.tokens += tokens;
+        self.attempt_ms += elapsed_ms;
+    }
+
+    pub fn note_success(&mut self) {
+        self.successes += 1;
+    }
+
+    /// Failures act at once, since a second of new work for an endpoint that fails is lost.
+    pub fn note_failure(&mut self) {
+        self.failures += 1;
+        if self.failures >= 2 && self.failures > self.successes {
+            self.restart();
+            self.failures = 2;
+        }
+    }
+
+    /// Once a second: doubles the limit after progress within target, or goes back to cold after
+    /// a drop.
+    pub fn tick(&mut self) {
+        let rate = (self.attempt_ms >= WarmUp::LEAST_OBSERVED_MS)
+            .then(|| self.tokens as f64 * 1000.0 / self.attempt_ms as f64);
+        let dropped = match (rate, self.usual_tokens_per_s) {
+            (Some(rate), Some(usual)) => rate < usual * WarmUp::DROP_SHARE,
+            _ => false,
+        };
+        if let Some(rate) = rate {
+            // A slow endpoint changes the average slowly, so that it stays cold until it recovers.
+            let share = if dropped { 0.05 } else { 0.3 };
+            let usual = self.usual_tokens_per_s.unwrap_or(rate);
+            self.usual_tokens_per_s = Some(usual + (rate - usual) * share);
+        }
+        if dropped {
+            return self.restart();
+        }
+        let in_target = match rate {
+            Some(rate) => rate >= WarmUp::TARGET_TOKENS_PER_S,
+            None => self.successes > 0,
+        };
+        let demonstrated = self.peak_used.saturating_mul(2) >= self.limit;
+        if in_target && demonstrated && self.failures == 0 {
+            self.limit = self.limit.saturating_mul(2).min(self.slots);
+        }
+        self.clear_window();
+    }
+
+    fn clear_window(&mut self) {
+        (self.tokens, self.attempt_ms) = (0, 0);
+        (self.successes, self.failures, self.peak_used) = (0, 0, 0);
+    }
+}
--- /dev/null
+++ b/tests/suspect.rs
@@ -0,0 +1,82 @@
+//! Requests that crash endpoints.
+
+use std::time::Duration;
+
+use almondroad::clock::TokioClock;
+use almondroad::suspect::{Suspects, Suspicion};
+use almondroad::units::Fingerprint;
+use proptest::prelude::*;
+
+fn suspects() -> Suspects<TokioClock> {
+    Suspects::new(TokioClock::new())
+}
+
+/// Guards against refusing requests that only ran alongside: a death without a suspect makes all
+/// of them suspects, and the next death is blamed on the suspect alone.
+#[tokio::test(start_paused = true)]
+async fn only_the_suspect_is_blamed_for_the_second_death() {
+    let suspects = suspects();
+    let [crasher, first, second] = [Fingerprint(1), Fingerprint(2), Fingerprint(3)];
+    suspects.note_crash(&[(crasher, false), (first, false)]);
+    assert_eq!((suspects.crashes(crasher), suspects.crashes(first)), (1, 1));
+    assert!(!suspects.is_refused(crasher));
+    suspects.note_crash(&[(second, false), (crasher, true)]);
+    assert!(suspects.is_refused(crasher));
+    assert_eq!((suspects.crashes(first), suspects.crashes(second)), (1, 0));
+}
+
+/// Guards against counting one death twice when two gateways ran the same prompt on the endpoint.
+#[tokio::test(start_paused = true)]
+async fn one_death_noted_twice_counts_once() {
+    let (a, b) = (suspects(), suspects());
+    a.note_crash(&[(Fingerprint(1), false)]);
+    b.learn(a.recent(1)[0]);
+    b.note_crash(&[(Fingerprint(1), false)]);
+    assert_eq!(b.crashes(Fingerprint(1)), 1);
+}
+
+/// Guards against a suspicion that never ends because instances keep teaching it to each other.
+#[tokio::test(start_paused = true)]
+async fn suspicions_expire_although_they_circulate() {
+    let (a, b) = (suspects(), suspects());
+    a.note_crash(&[(Fingerprint(1), false)]);
+    for _ in 0..600 {
+        for (from, to) in [(&a, &b), (&b, &a)] {
+            let copies = from.recent(32);
+            tokio::time::advance(Duration::from_millis(500)).await;
+            copies.into_iter().for_each(|copy| to.learn(copy));
+        }
+    }
+    tokio::time::advance(Duration::from_millis(1000)).await;
+    assert_eq!((a.crashes(Fingerprint(1)), b.crashes(Fingerprint(1))), (0, 0));
+    assert_eq!((a.recent(1), b.recent(1)), (vec![], vec![]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default() })]
+
+    /// Guards against copies that arrive late, twice or out of order lowering or inflating a count.
+    #[test]
+    fn copies_in_any_order_give_the_same_counts(
+        copies in prop::collection::vec((0u64..4, 1u32..4, 1u64..900_000), 1..20),
+        rotation in 0usize..20,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time().start_paused(true).build().unwrap();
+        let _guard = runtime.enter();
+        let (a, b) = (suspects(), suspects());
+        let copy = |&(f, crashes, remaining_ms): &(u64, u32, u64)| Suspicion {
+            fingerprint: Fingerprint(f), crashes, remaining_ms,
+        };
+        copies.iter().map(copy).for_each(|s| a.learn(s));
+        let mut rotated = copies.clone();
+        rotated.rotate_left(rotation % copies.len());
+        rotated.iter().chain(&rotated).map(copy).for_each(|s| b.learn(s));
+        for f in 0..4 {
+            let most = copies.iter().filter(|c| c.0 == f).map(|c| c.1).max().unwrap_or(0);
+            prop_assert_eq!(a.crashes(Fingerprint(f)), most);
+            prop_assert_eq!(b.crashes(Fingerprint(f)), most);
+        }
+        prop_assert!(a.recent(9).iter().all(|s| s.remaining_ms <= 600_000));
+    }
+}
