Test the pool's owner with random schedules

Cause: focused tests show each rule alone, not in combination.

Change: proptest schedules of admissions, ends, silence and deaths against the engines' own count of what they hold, and floods against the weights.

--- a/src/pool/admitting.rs
+++ b/src/pool/admitting.rs
@@ -77,10 +77,10 @@
         };
         for class in order {
             let (id, result) = match self.next_of(class, now) {
-                Next::Serve(ticket, result) => (ticket, result),
                 // A large request that has waited long gets the memory that becomes free.
-                Next::HoldMemory => return false,
-                Next::Nothing => continue,
+                Some((_, Err(Blocked::Memory))) => return false,
+                Some(next) => next,
+                None => continue,
             };
             let queue = &mut self.queues[class as usize];
             if let Some(waiter) = queue.take(&id.organisation, id.id, id.is_long) {
@@ -91,15 +91,14 @@
         false
     }
 
-    fn next_of(&self, class: Class, now: Instant) -> Next {
+    /// The next admission to answer. With `Blocked::Memory` it is to wait, and others with it.
+    fn next_of(&self, class: Class, now: Instant) -> Option<(Ticket, Result<Choice, Blocked>)> {
         let queue = &self.queues[class as usize];
-        let Some(selection) = self.selection(now) else {
-            return Next::Nothing;
-        };
+        let selection = self.selection(now)?;
         for (at, waiter) in queue.candidates(now).take(PoolState::MAX_TRIED).enumerate() {
             let deadline = waiter.queued_at.plus_ms(waiter.admission.remaining_ms);
             let result = match selection.select(&waiter.admission, deadline) {
-                Err(Blocked::Memory) if at == 0 && waiter.is_aged(now) => return Next::HoldMemory,
+                Err(Blocked::Memory) if at == 0 && waiter.is_aged(now) => Err(Blocked::Memory),
                 Err(Blocked::Memory | Blocked::Busy) => continue,
                 result => result,
             };
@@ -110,9 +109,9 @@
                 id: waiter.id,
                 is_long: waiter.is_long,
             };
-            return Next::Serve(ticket, result);
+            return Some((ticket, result));
         }
-        Next::Nothing
+        None
     }
 
     fn answer(&mut self, waiter: Waiter, result: Result<Choice, Blocked>, now: Instant) {
@@ -194,10 +193,3 @@
         };
     }
 }
-
-/// Result of looking for the next admission of a class.
-enum Next {
-    Serve(Ticket, Result<Choice, Blocked>),
-    HoldMemory,
-    Nothing,
-}
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -2,6 +2,8 @@
 
 #[path = "pool/fakes.rs"]
 mod fakes;
+#[path = "pool/properties.rs"]
+mod properties;
 
 use std::future::Future;
 use std::rc::Rc;
