--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,16 +1,22 @@
 //! A router for separate prefill and decode pools. `docs/design.md` describes the design.
 
+pub mod bench;
 pub mod budget;
 pub mod clock;
 pub mod config;
 pub mod engine;
+pub mod gateway;
 pub mod hash;
 pub mod http;
 pub mod jsonc;
 pub mod lease;
+pub mod once;
 pub mod peer;
 pub mod platform;
 pub mod pool;
+pub mod route;
+pub mod serve;
+pub mod settings;
 pub mod standin;
 pub mod suspect;
 pub mod units;
