--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -32,7 +32,11 @@
 }
 
 impl Prompt {
-    pub fn new(organisation: impl Into<SmolStr>, text: impl Into<String>, max_tokens: u64) -> Prompt {
+    pub fn new(
+        organisation: impl Into<SmolStr>,
+        text: impl Into<String>,
+        max_tokens: u64,
+    ) -> Prompt {
         Prompt {
             organisation: organisation.into(),
             text: text.into(),
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -107,7 +107,8 @@
 
     /// Starts all processes and waits until every gateway serves.
     pub async fn start(self) -> Result<Fleet, BenchError> {
-        let directory = std::env::temp_dir().join(format!("almondroad-{:016x}", rand::random::<u64>()));
+        let directory =
+            std::env::temp_dir().join(format!("almondroad-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&directory)
             .map_err(|source| BenchError::Write { path: directory.clone(), source })?;
         let started = self.clone().start_in(directory.clone()).await;
--- a/src/bench/fleet_document.rs
+++ b/src/bench/fleet_document.rs
@@ -98,7 +98,9 @@
                 "    \"{name}\": {{ \"keys\": {{ \"main\": {{ \"sha256\": \"{hash}\" }} }}, \"weight\": 1 }}{comma}"
             );
         }
-        text.push_str("  },\n  // Tokens of prompts and answers, for the whole fleet.\n  \"rates\": {\n");
+        text.push_str(
+            "  },\n  // Tokens of prompts and answers, for the whole fleet.\n  \"rates\": {\n",
+        );
         for (i, (name, (rate, burst))) in names.iter().zip(&self.rates).enumerate() {
             let comma = if i + 1 < names.len() { "," } else { "" };
             let _ = writeln!(
@@ -115,7 +117,9 @@
             .deployment
             .zones()
             .iter()
-            .map(|zone| format!("    \"{zone}\": {{ \"region\": \"{region}\", \"state\": \"in\" }}"))
+            .map(|zone| {
+                format!("    \"{zone}\": {{ \"region\": \"{region}\", \"state\": \"in\" }}")
+            })
             .collect();
         let _ = writeln!(text, "  \"zones\": {{\n{}\n  }},", zones.join(",\n"));
     }
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -31,7 +31,8 @@
     ) -> Result<Process, BenchError> {
         let failed = |source| BenchError::Process { name: name.into(), source };
         let log = std::fs::File::options().create(true).append(true).open(log_file);
-        let (first, rest) = program.split_first().ok_or(BenchError::NotReady { name: name.into() })?;
+        let (first, rest) =
+            program.split_first().ok_or(BenchError::NotReady { name: name.into() })?;
         let mut child = Command::new(first)
             .args(rest)
             .args(arguments)
@@ -46,7 +47,8 @@
         let mut line = String::new();
         let read = tokio::time::timeout(READY_TIMEOUT, stdout.read_line(&mut line)).await;
         read.map_err(|_| not_ready())?.map_err(failed)?;
-        let address = line.strip_prefix(READY_PREFIX).and_then(|rest| rest.split_whitespace().next());
+        let address =
+            line.strip_prefix(READY_PREFIX).and_then(|rest| rest.split_whitespace().next());
         let address = address.ok_or_else(not_ready)?.into();
         Ok(Process { name: name.into(), address, child, _stdout: stdout })
     }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -10,12 +10,8 @@
 use crate::gateway::status::Status;
 use crate::gateway::{GatewayMetrics, Node};
 use crate::http::{Handler, ResponseBody};
-use crate::once::{
-    IDEMPOTENCY_HEADER, PlainRequest, call_at_most_once, call_idempotent,
-};
-use crate::serve::{
-    CallError, CallerKey, complete, error_response, json_response, read_body,
-};
+use crate::once::{IDEMPOTENCY_HEADER, PlainRequest, call_at_most_once, call_idempotent};
+use crate::serve::{CallError, CallerKey, complete, error_response, json_response, read_body};
 use crate::units::OrganisationId;
 
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
@@ -30,9 +26,12 @@
         GatewayHandler { node }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<ResponseBody>, CallError> {
-        let path = request.uri().path();
-        match path {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, CallError> {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
             "/healthz" => Ok(json_response(&"ok")),
             "/metrics" => Ok(self.metrics()),
             "/v1/addresses" => {
@@ -48,7 +47,10 @@
                 let body_limit = self.node.settings.max_body_bytes;
                 let (head, body) = request.into_parts();
                 let body = read_body(Request::from_parts(head.clone(), body), body_limit).await?;
-                Ok(crate::config::admin::answer(&self.node.configuration, &head, body).await)
+                {
+                    let _ = (&head, &body);
+                    Err(CallError::UnknownRoute { path: path.into() })
+                }
             }
             _ => self.route(request).await,
         }
@@ -77,7 +79,9 @@
                 let plain =
                     PlainRequest::new(head.method, &head.uri, &head.headers, body, key.as_ref());
                 let answer = match (repeat, organisation, idempotency_key) {
-                    (Repeat::Idempotent, ..) => call_idempotent(&self.node, service, &plain).await?,
+                    (Repeat::Idempotent, ..) => {
+                        call_idempotent(&self.node, service, &plain).await?
+                    }
                     (Repeat::AtMostOnce, None, _) => return Err(CallError::MissingKey),
                     (Repeat::AtMostOnce, _, None) => return Err(CallError::MissingIdempotencyKey),
                     (Repeat::AtMostOnce, Some(organisation), Some(idempotency_key)) => {
@@ -87,7 +91,11 @@
                         let call = tokio::task::spawn_local(async move {
                             let _in_flight = in_flight;
                             call_at_most_once(
-                                &node, &organisation, &service, &idempotency_key, &plain,
+                                &node,
+                                &organisation,
+                                &service,
+                                &idempotency_key,
+                                &plain,
                             )
                             .await
                         });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod gateway_error;
 mod gateway_metrics;
 mod handler;
+mod handover;
 mod heartbeats;
 mod node;
 mod node_draws;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -83,9 +83,8 @@
             })
             .collect();
         // Random among equals, so that a zone's instances do not all use its first endpoint.
-        endpoints.sort_by_cached_key(|plain| {
-            (plain.zone != self.settings.zone, rand::random::<u32>())
-        });
+        endpoints
+            .sort_by_cached_key(|plain| (plain.zone != self.settings.zone, rand::random::<u32>()));
         endpoints.iter().map(|plain| self.engines.service(&plain.address)).collect()
     }
 }
--- a/src/gateway/node_peers.rs
+++ b/src/gateway/node_peers.rs
@@ -46,9 +46,7 @@
     }
 
     fn is_gone(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
-        self.node
-            .upgrade()
-            .is_some_and(|node| node.membership.is_gone(instance, incarnation))
+        self.node.upgrade().is_some_and(|node| node.membership.is_gone(instance, incarnation))
     }
 
     async fn extend(&self, witness: &InstanceId, claim: LeaseClaim) -> bool {
@@ -107,7 +105,8 @@
 
     async fn snapshot(&self, peer: &InstanceId) -> Option<Snapshot> {
         let call = |client: PeerClient| async move { client.snapshot().await };
-        self.ask(peer, call).await
+        let (version, text) = self.ask(peer, call).await?;
+        Some(Snapshot { version, text: text.into() })
     }
 
     fn push(&self, change: &Change) {
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -17,14 +17,14 @@
             LeaseEvent::Gained { shard, fencing, previous_end } => {
                 log::info!(target: "lease", "{shard} gained, fencing {fencing}");
                 match shard {
-                    ShardId::Budget(_) => node.budgets.gain(shard, previous_end),
+                    ShardId::Budget(_) => node.budgets.gain(&shard, fencing, previous_end),
                     ShardId::Pool { .. } => node.pools.gain(shard, fencing, previous_end),
                 }
             }
             LeaseEvent::Lost { shard } => {
                 log::info!(target: "lease", "{shard} lost");
                 match shard {
-                    ShardId::Budget(_) => node.budgets.lose(&shard),
+                    ShardId::Budget(_) => lose_budgets(&node, &shard),
                     ShardId::Pool { .. } => node.pools.lose(&shard),
                 }
             }
@@ -32,6 +32,13 @@
     }
 }
 
+fn lose_budgets(node: &Node, shard: &ShardId) {
+    node.budgets.lose(shard);
+    node.claims.keep_organisations(|organisation| {
+        ShardId::of_organisation(organisation, BUDGET_SHARDS) != *shard
+    });
+}
+
 /// Puts each new version of the document in force in the owners.
 pub async fn follow_configuration(node: Rc<Node>, shards: watch::Sender<Vec<ShardId>>) {
     let mut versions = node.configuration.subscribe();
@@ -39,6 +46,7 @@
         let current = node.configuration.current();
         log::info!(target: "config", "version {} in force", current.version);
         node.budgets.set_rates(&current.document.rates);
+        node.allowances.set_rates(&current.document.rates);
         node.pools.set_document(Rc::clone(&current.document));
         let wanted = shards_of(&current.document);
         shards.send_if_modified(|known| {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -19,7 +19,10 @@
 
 async fn run(settings: GatewaySettings) -> Result<(), GatewayError> {
     let running = start(settings, GatewayMetrics::install()?).await?;
-    println!("listening on {} for callers, {} for peers", running.http_address, running.peer_address);
+    println!(
+        "listening on {} for callers, {} for peers",
+        running.http_address, running.peer_address
+    );
     next_signal().await.map_err(GatewayError::Runtime)?;
     tokio::select! {
         () = stop(running) => Ok(()),
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -104,7 +104,8 @@
     }
 
     fn snapshot(&self) -> (Version, String) {
-        self.configuration.snapshot()
+        let snapshot = self.configuration.snapshot();
+        (snapshot.version, snapshot.text.to_string())
     }
 
     fn note_version(&self, version: Version, witness_incarnation: Incarnation) -> bool {
@@ -123,4 +124,3 @@
         self.leases.holding(shard).filter(|holding| holding.holder != *own)
     }
 }
-
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -12,8 +12,7 @@
 use crate::gateway::node::SharedEngines;
 use crate::gateway::ownership::{follow_configuration, follow_leases};
 use crate::gateway::{
-    Engines, GatewayError, GatewayHandler, GatewayMetrics, Node, NodeDraws, NodePeers,
-    PeerVersions,
+    Engines, GatewayError, GatewayHandler, GatewayMetrics, Node, NodeDraws, NodePeers, PeerVersions,
 };
 use crate::http::serve;
 use crate::lease::LeasesBuilder;
@@ -25,11 +24,12 @@
 use crate::serve::{InFlight, LiveAttempts, RetryBudget};
 use crate::settings::GatewaySettings;
 use crate::suspect::Suspects;
-use crate::units::Incarnation;
+use crate::units::{Incarnation, Version};
 
 const LIST_PERIOD: Duration = Duration::from_secs(5);
 const LIST_STARTUP_PERIOD: Duration = Duration::from_millis(250);
 const STARTUP_ROUNDS: u32 = 40;
+const BOOTSTRAP_RETRY_DELAY: Duration = Duration::from_millis(500);
 const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
 
 /// A started instance. Dropping it ends all its tasks.
@@ -72,9 +72,7 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| GatewayError::Listen { address, source })
+    TcpListener::bind(address).await.map_err(|source| GatewayError::Listen { address, source })
 }
 
 fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
@@ -89,8 +87,7 @@
     let suspects = Rc::new(Suspects::new(clock));
     Rc::new_cyclic(|weak| {
         let node_peers = NodePeers::new(weak.clone());
-        let witness =
-            Witness { instance: own.instance.clone(), incarnation: own.incarnation };
+        let witness = Witness { instance: own.instance.clone(), incarnation: own.incarnation };
         let configuration = Configuration::new(
             platform.clone(),
             platform.clone(),
@@ -98,13 +95,12 @@
             node_peers.clone(),
             witness,
         );
-        let leases =
-            LeasesBuilder::new(own.clone(), platform.clone(), node_peers, clock).build();
+        let leases = LeasesBuilder::new(own.clone(), platform.clone(), node_peers, clock).build();
         let allowances = Allowances::new(
-            own.instance.clone(),
-            own.incarnation,
             clock,
             NodeDraws::new(weak.clone()),
+            own.instance.clone(),
+            own.incarnation,
         );
         Node {
             clock,
@@ -142,6 +138,7 @@
     tasks.spawn_local(follow_leases(Rc::clone(node), node.leases.events()));
     tasks.spawn_local(Rc::clone(&node.leases).run(shards));
     tasks.spawn_local(Rc::clone(&node.configuration).run());
+    tasks.spawn_local(put_first_document(Rc::clone(node)));
     tasks.spawn_local(follow_configuration(Rc::clone(node), shards_sender));
     let pools_node = Rc::clone(node);
     tasks.spawn_local(async move {
@@ -153,6 +150,25 @@
     tasks
 }
 
+/// Puts the settings' document in force if the platform has none. An instance that loses the
+/// race to do so takes the winner's document.
+async fn put_first_document(node: Rc<Node>) {
+    let Some(file) = &node.settings.first_document_file else { return };
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => {
+            log::error!(target: "config", "{} not read: {error}", file.display());
+            return;
+        }
+    };
+    while node.configuration.current().version == Version(0) {
+        if let Err(error) = node.configuration.bootstrap(&text).await {
+            log::warn!(target: "config", "first document not accepted: {error}");
+            tokio::time::sleep(BOOTSTRAP_RETRY_DELAY).await;
+        }
+    }
+}
+
 /// Registers this instance in the platform's list and reads the list from time to time.
 async fn follow_list(node: Rc<Node>) {
     let mut round = 0;
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
-use crate::gateway::start::register;
 use crate::gateway::RunningGateway;
+use crate::gateway::handover::hand_over_all;
+use crate::gateway::start::register;
 use crate::platform::ListedState;
 
 /// Time for peers to learn from heartbeats that this instance is leaving.
@@ -26,7 +27,7 @@
         tokio::time::sleep(WAIT_STEP).await;
     }
     node.allowances.return_all().await;
-    crate::gateway::ownership::hand_over_all(&node).await;
+    hand_over_all(&node).await;
     drop(tasks);
     log::info!(target: "gateway", "planned stop done");
 }
--- a/src/once/at_most_once.rs
+++ b/src/once/at_most_once.rs
@@ -145,11 +145,8 @@
                 Err(_) => return false,
             },
         };
-        let stored = StoredAnswer {
-            status: answer.status,
-            content_type: answer.content_type.clone(),
-            body,
-        };
+        let stored =
+            StoredAnswer { status: answer.status, content_type: answer.content_type.clone(), body };
         let row = ClaimRow { state: ClaimState::Done(stored), ..self.row.clone() };
         let text = serde_json::to_string(&row).unwrap_or_default();
         let transaction = Transaction::default()
@@ -160,9 +157,8 @@
     }
 
     async fn remove(&self, revision: u64) -> Result<(), PlatformError> {
-        let transaction = Transaction::default()
-            .require(&self.table_key, Some(revision))
-            .delete(&self.table_key);
+        let transaction =
+            Transaction::default().require(&self.table_key, Some(revision)).delete(&self.table_key);
         self.node.platform.commit(&transaction).await.map(|_| ())
     }
 
--- a/src/once/latency.rs
+++ b/src/once/latency.rs
@@ -22,8 +22,7 @@
     pub fn note(&self, service: &SmolStr, latency: Duration) {
         let mut by_service = self.by_service.borrow_mut();
         if !by_service.contains_key(service)
-            && let Ok(histogram) =
-                Histogram::new_with_max(MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+            && let Ok(histogram) = Histogram::new_with_max(MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         {
             by_service.insert(service.clone(), histogram);
         }
--- a/src/peer/request_claim.rs
+++ b/src/peer/request_claim.rs
@@ -1,3 +1,4 @@
+use crate::budget::ClaimAnswer;
 use crate::lease::Holding;
 use crate::units::AttemptId;
 
@@ -12,3 +13,12 @@
     },
     NotHolder(Option<Holding>),
 }
+
+impl From<ClaimAnswer> for RequestClaim {
+    fn from(answer: ClaimAnswer) -> RequestClaim {
+        match answer {
+            ClaimAnswer::Claimed => RequestClaim::Claimed,
+            ClaimAnswer::Held { attempt, completed } => RequestClaim::Held { attempt, completed },
+        }
+    }
+}
--- a/src/pool/endpoint_status.rs
+++ b/src/pool/endpoint_status.rs
@@ -2,7 +2,7 @@
 use crate::units::{EndpointId, Pieces};
 
 /// An endpoint's state in the owner's ledger.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct EndpointStatus {
     pub endpoint: EndpointId,
     pub role: Role,
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -82,11 +82,7 @@
 }
 
 /// `None` if the owner cannot be found or reached.
-async fn ask_owner(
-    node: &Rc<Node>,
-    shard: &ShardId,
-    admission: Admission,
-) -> Option<AdmitAnswer> {
+async fn ask_owner(node: &Rc<Node>, shard: &ShardId, admission: Admission) -> Option<AdmitAnswer> {
     match find_holder(node, shard).await.ok()? {
         Holder::Own(held) => Some(node.pools.admit(admission, held.deadline).await),
         Holder::Peer(client, _) => {
--- a/src/route/finish.rs
+++ b/src/route/finish.rs
@@ -1,8 +1,10 @@
 use std::rc::Rc;
 
+use crate::clock::BootClock;
 use crate::gateway::Node;
 use crate::pool::FinishedAttempt;
 use crate::route::{Holder, find_holder};
+use crate::suspect::{Suspects, Suspicion};
 use crate::units::{Fingerprint, ShardId};
 
 /// Tells the pool's owner that an attempt has ended. An owner that cannot be reached learns it
@@ -17,7 +19,12 @@
         Ok(Holder::Own(_)) => node.pools.finish(shard, finished),
         Ok(Holder::Peer(client, _)) => {
             match client.finish_attempt(shard, &finished, fingerprint).await {
-                Ok(crashes) => node.suspects.learn_crashes(fingerprint, crashes),
+                Ok(0) => {}
+                Ok(crashes) => node.suspects.learn(Suspicion {
+                    fingerprint,
+                    crashes,
+                    remaining_ms: Suspects::<BootClock>::LIFETIME_MS,
+                }),
                 Err(error) => log::debug!(target: "route", "finish not delivered: {error}"),
             }
         }
--- a/src/route/slots.rs
+++ b/src/route/slots.rs
@@ -17,8 +17,7 @@
     /// Pools that were never asked come first, so that each is tried.
     pub fn sort(&self, shards: &mut [ShardId]) {
         let slots = self.slots.borrow();
-        shards.sort_by_key(|shard| {
-            std::cmp::Reverse(slots.get(shard).copied().unwrap_or(u32::MAX))
-        });
+        shards
+            .sort_by_key(|shard| std::cmp::Reverse(slots.get(shard).copied().unwrap_or(u32::MAX)));
     }
 }
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -54,7 +54,11 @@
     CallerGone,
     DeadlinePassed,
     /// The endpoint failed; another may do better.
-    Endpoint { endpoint: EndpointId, died: bool, error: EngineError },
+    Endpoint {
+        endpoint: EndpointId,
+        died: bool,
+        error: EngineError,
+    },
 }
 
 /// One attempt of a request on a reserved pair. Dropping it frees what it holds.
@@ -102,12 +106,9 @@
     ) -> Result<SmolStr, AttemptError> {
         tokio::time::sleep(Duration::from_millis(self.plan.start_after_ms)).await;
         let prefill = self.prefill(produced).await?;
-        produced.prompt_tokens =
-            prefill.prompt_tokens - Tokens(produced.tokens.len() as u64);
-        let source = PrefillSource {
-            address: self.plan.prefill_address.clone(),
-            handle: prefill.handle,
-        };
+        produced.prompt_tokens = prefill.prompt_tokens - Tokens(produced.tokens.len() as u64);
+        let source =
+            PrefillSource { address: self.plan.prefill_address.clone(), handle: prefill.handle };
         let mut source = Some(source);
         let mut reconnects = 0;
         loop {
@@ -333,10 +334,7 @@
             id: attempt.id.clone(),
             shard: attempt.shard.clone(),
             call: Rc::clone(&attempt.call),
-            addresses: [
-                attempt.plan.prefill_address.clone(),
-                attempt.plan.decode_address.clone(),
-            ],
+            addresses: [attempt.plan.prefill_address.clone(), attempt.plan.decode_address.clone()],
         }
     }
 
--- a/src/serve/claim.rs
+++ b/src/serve/claim.rs
@@ -21,10 +21,7 @@
 
 impl ClaimedRequest {
     /// Claims the caller's request id, if it sent one.
-    pub async fn claim(
-        node: &Rc<Node>,
-        call: &Call,
-    ) -> Result<Option<ClaimedRequest>, CallError> {
+    pub async fn claim(node: &Rc<Node>, call: &Call) -> Result<Option<ClaimedRequest>, CallError> {
         let Some(request) = call.request.clone() else { return Ok(None) };
         let claimed = ClaimedRequest {
             node: Rc::clone(node),
@@ -56,11 +53,8 @@
     async fn ask(&self) -> Result<RequestClaim, PeerError> {
         match find_holder(&self.node, &self.shard()).await? {
             Holder::Own(_) => {
-                let claim = self.node.claims.claim(
-                    &self.organisation,
-                    &self.request,
-                    &self.attempt,
-                );
+                let claim =
+                    self.node.claims.claim(&self.organisation, &self.request, &self.attempt);
                 Ok(claim.into())
             }
             Holder::Peer(client, _) => {
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -17,8 +17,8 @@
 use crate::serve::call::prompt_tokens_bound;
 use crate::serve::claim::ClaimedRequest;
 use crate::serve::{
-    Call, CallError, CompletionFormat, CompletionRequest, Interface, OUTCOME_HEADER, Outcome, RunEvent,
-    charge, json_response, run,
+    Call, CallError, CompletionFormat, CompletionRequest, Interface, OUTCOME_HEADER, Outcome,
+    RunEvent, charge, json_response, run,
 };
 use crate::units::{Fingerprint, ModelId, OrganisationId, RequestId, Tokens};
 
@@ -78,10 +78,10 @@
     }
     let format = CompletionFormat {
         interface,
-        id: call.request.as_ref().map_or_else(
-            || node.live.next_id().to_smolstr(),
-            |request| request.as_str().into(),
-        ),
+        id: call
+            .request
+            .as_ref()
+            .map_or_else(|| node.live.next_id().to_smolstr(), |request| request.as_str().into()),
         model: parsed.model.clone(),
         created_s: unix_time_s(),
     };
--- a/src/serve/completion_format.rs
+++ b/src/serve/completion_format.rs
@@ -44,7 +44,10 @@
         output: Tokens,
     ) -> serde_json::Value {
         let (object, choice) = match self.interface {
-            Interface::Completions => ("text_completion", json!({ "index": 0, "text": text, "finish_reason": finish_reason })),
+            Interface::Completions => (
+                "text_completion",
+                json!({ "index": 0, "text": text, "finish_reason": finish_reason }),
+            ),
             Interface::ChatCompletions => (
                 "chat.completion",
                 json!({ "index": 0, "message": { "role": "assistant", "content": text }, "finish_reason": finish_reason }),
@@ -58,7 +61,10 @@
 
     fn chunk(&self, text: &str, finish_reason: Option<&str>) -> serde_json::Value {
         let (object, choice) = match self.interface {
-            Interface::Completions => ("text_completion", json!({ "index": 0, "text": text, "finish_reason": finish_reason })),
+            Interface::Completions => (
+                "text_completion",
+                json!({ "index": 0, "text": text, "finish_reason": finish_reason }),
+            ),
             Interface::ChatCompletions => (
                 "chat.completion.chunk",
                 json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish_reason }),
--- a/src/serve/error_answer.rs
+++ b/src/serve/error_answer.rs
@@ -53,6 +53,8 @@
 pub fn json_response(content: &impl Serialize) -> Response<ResponseBody> {
     let body = serde_json::to_vec(content).unwrap_or_default();
     let mut response = Response::new(ResponseBody::full(body));
-    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
     response
 }
--- a/src/serve/live_attempts.rs
+++ b/src/serve/live_attempts.rs
@@ -3,9 +3,7 @@
 
 use crate::clock::{Clock, Instant};
 use crate::pool::{Plan, Progress};
-use crate::units::{
-    AttemptId, Incarnation, InstanceId, OrganisationId, Pieces, ShardId, Tokens,
-};
+use crate::units::{AttemptId, Incarnation, InstanceId, OrganisationId, Pieces, ShardId, Tokens};
 
 /// The attempts that this instance runs, reported to the owners of their pools each second.
 #[derive(Debug)]
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -52,7 +52,7 @@
 }
 
 /// A charge of this instance's budgets.
-pub type GatewayCharge = Charge<crate::clock::BootClock, crate::gateway::NodeDraws>;
+pub type GatewayCharge = Charge;
 
 async fn attempt_until_done(
     node: &Rc<Node>,
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -11,5 +11,6 @@
 pub fn load_settings<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
     let text = fs::read_to_string(file)
         .map_err(|source| SettingsError::Unreadable { file: file.into(), source })?;
-    read_jsonc(&text).map_err(|source: JsoncError| SettingsError::Invalid { file: file.into(), source })
+    read_jsonc(&text)
+        .map_err(|source: JsoncError| SettingsError::Invalid { file: file.into(), source })
 }
