--- /dev/null
+++ b/src/config/catch_up.rs
@@ -0,0 +1,242 @@
+//! Loads the newest version at start and fills gaps.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use rand::seq::SliceRandom;
+
+use crate::clock::Clock;
+use crate::config::configuration::LOG;
+use crate::config::confirm::HEAD_TIMEOUT;
+use crate::config::{
+    ChangeRow, ConfigError, ConfigWitnesses, Configuration, DocumentText, Head, InForce, Witness,
+};
+use crate::platform::{Objects, Table};
+use crate::units::{ContentHash, InstanceId, Version};
+
+/// Period of reads of the head row: 370 instances make 185 reads a second.
+const CONFIRMED_PERIOD: Duration = Duration::from_secs(2);
+const UNCONFIRMED_PERIOD: Duration = Duration::from_secs(1);
+/// The witnesses are asked when the store has not answered by then. With the period of 2 s this
+/// leaves 300 ms until the confirmation expires.
+const STORE_PATIENCE: Duration = Duration::from_millis(200);
+/// A confirmation learnt from a peer that is younger than this spares the witnesses a question.
+const FRESH_MS: u64 = 1000;
+const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+const OBJECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Larger gaps are filled from the snapshot.
+const MAX_CHANGE_ROWS: u64 = 64;
+const MAX_ASKED_PEERS: usize = 3;
+const MAX_PEERS_AT_START: usize = 8;
+/// Pause after a gap could not be filled.
+const GAP_PAUSE: Duration = Duration::from_millis(500);
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Loads the newest version that the store and the peers know.
+    pub async fn start(&self) {
+        tokio::join!(self.confirm_by_store(), self.ask_peers_for_version());
+        self.catch_up().await;
+        self.confirm_by_store().await;
+    }
+
+    /// Reads the head row, confirms, fills gaps and replaces dead witnesses until dropped.
+    pub async fn run(self: Rc<Self>) {
+        tokio::join!(self.keep_confirmed(), self.fill_gaps(), self.keep_witnesses());
+    }
+
+    async fn keep_confirmed(&self) {
+        loop {
+            let started = tokio::time::Instant::now();
+            tokio::join!(self.confirm_by_store(), self.confirm_without_store());
+            let period = if self.is_confirmed() { CONFIRMED_PERIOD } else { UNCONFIRMED_PERIOD };
+            tokio::time::sleep_until(started + period).await;
+        }
+    }
+
+    /// Separate from the reads of the head row, which a slow commit must not delay.
+    async fn keep_witnesses(&self) {
+        loop {
+            tokio::time::sleep(CONFIRMED_PERIOD).await;
+            if let Err(error) = self.replace_witnesses().await {
+                log::warn!(target: LOG, "witnesses not replaced: {error}");
+            }
+        }
+    }
+
+    /// Confirms by the witnesses if neither the store nor a peer has confirmed for a second.
+    async fn confirm_without_store(&self) {
+        tokio::time::sleep(STORE_PATIENCE).await;
+        if !self.is_fresh() {
+            self.confirm_by_witnesses().await;
+        }
+    }
+
+    async fn fill_gaps(&self) {
+        loop {
+            self.gap.notified().await;
+            self.catch_up().await;
+            if self.has_gap() {
+                tokio::time::sleep(GAP_PAUSE).await;
+                self.gap.notify_one();
+            }
+        }
+    }
+
+    async fn confirm_by_store(&self) {
+        if let Err(error) = self.read_head().await {
+            log::warn!(target: LOG, "head row not read: {error}");
+        }
+    }
+
+    fn is_fresh(&self) -> bool {
+        let now = self.clock.now();
+        self.state.borrow().confirmed_at.is_some_and(|at| now.ms_since(at) < FRESH_MS)
+    }
+
+    pub(super) fn has_gap(&self) -> bool {
+        let state = self.state.borrow();
+        state.wanted > state.in_force.version
+    }
+
+    async fn ask_peers_for_version(&self) {
+        let peers = self.some_peers(MAX_PEERS_AT_START);
+        // No change is newer than this version: the answer is only the peer's version.
+        let asked = peers.iter().map(|peer| self.peers.changes_since(peer, Version(u64::MAX - 1)));
+        let answers = tokio::time::timeout(PEER_TIMEOUT, join_all(asked)).await;
+        for (_, version) in answers.into_iter().flatten().flatten() {
+            self.want(version);
+        }
+    }
+
+    /// Brings the newest known version into force: from change rows, from peers' changes, from
+    /// the snapshot object, or from a peer's snapshot.
+    pub(super) async fn catch_up(&self) {
+        if let Some(head) = self.newer_head() {
+            let read = tokio::time::timeout(HEAD_TIMEOUT, self.apply_change_rows(head.version));
+            self.report(read.await, "change rows");
+        }
+        if self.has_gap() {
+            self.apply_peers_changes().await;
+        }
+        if self.has_gap() && self.newer_head().is_none() {
+            self.confirm_by_store().await;
+        }
+        if let Some(head) = &self.newer_head() {
+            let read = tokio::time::timeout(OBJECT_TIMEOUT, self.install_object(head));
+            self.report(read.await, "snapshot object");
+        }
+        if self.has_gap() {
+            self.install_peers_snapshot().await;
+        }
+    }
+
+    fn newer_head(&self) -> Option<Head> {
+        let state = self.state.borrow();
+        state.head.clone().filter(|head| head.version > state.in_force.version)
+    }
+
+    fn report<E>(&self, outcome: Result<Result<(), ConfigError>, E>, source: &str) {
+        match outcome {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::warn!(target: LOG, "gap not filled from {source}: {error}"),
+            Err(_) => log::warn!(target: LOG, "gap not filled from {source} in time"),
+        }
+    }
+
+    async fn apply_change_rows(&self, newest: Version) -> Result<(), ConfigError> {
+        let oldest = self.current().version.get() + 1;
+        if newest.get() - oldest >= MAX_CHANGE_ROWS || oldest == 1 {
+            return Ok(());
+        }
+        let keys: Vec<_> = (oldest..=newest.get()).map(|v| ChangeRow::key(Version(v))).collect();
+        let rows = self.table.read(&keys).await.map_err(ConfigError::store)?;
+        for (key, row) in keys.into_iter().zip(rows) {
+            let Some(row) = row else { return Ok(()) };
+            let row: ChangeRow = serde_json::from_str(&row.value)
+                .map_err(|_| ConfigError::MalformedRow { key: key.into() })?;
+            // A pushed change may have come into force during the read.
+            if row.change.version > self.current().version {
+                self.install_change(&row.change)?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn apply_peers_changes(&self) {
+        if self.current().version == Version(0) {
+            return;
+        }
+        for peer in self.some_peers(MAX_ASKED_PEERS) {
+            let asked = self.peers.changes_since(&peer, self.current().version);
+            let Ok(Some((changes, _))) = tokio::time::timeout(PEER_TIMEOUT, asked).await else {
+                continue;
+            };
+            for change in changes {
+                if change.version > self.current().version
+                    && let Err(error) = self.install_change(&change)
+                {
+                    log::warn!(target: LOG, "change {} of {peer}: {error}", change.version);
+                    break;
+                }
+            }
+            if !self.has_gap() {
+                return;
+            }
+        }
+    }
+
+    async fn install_object(&self, head: &Head) -> Result<(), ConfigError> {
+        let content = self.objects.get(head.hash).await.map_err(ConfigError::store)?;
+        let wrong = || ConfigError::WrongContent { section: "".into() };
+        let content = content.ok_or_else(wrong)?;
+        let text = std::str::from_utf8(&content).map_err(|_| wrong())?;
+        let witnesses = head.witnesses.as_slice().into();
+        self.install_text(head.version, text, Some(head.hash), Some(witnesses))
+    }
+
+    async fn install_peers_snapshot(&self) {
+        let head = self.state.borrow().head.clone();
+        for peer in self.some_peers(MAX_ASKED_PEERS) {
+            let asked = tokio::time::timeout(PEER_TIMEOUT, self.peers.snapshot(&peer));
+            let Ok(Some(snapshot)) = asked.await else { continue };
+            if snapshot.version <= self.current().version {
+                continue;
+            }
+            let head = head.as_ref().filter(|head| head.version == snapshot.version);
+            let (hash, witnesses) = match head {
+                Some(head) => (Some(head.hash), Some(head.witnesses.as_slice().into())),
+                None => (None, None),
+            };
+            let installed = self.install_text(snapshot.version, &snapshot.text, hash, witnesses);
+            self.report::<()>(Ok(installed), "a peer's snapshot");
+            if !self.has_gap() {
+                return;
+            }
+        }
+    }
+
+    fn install_text(
+        &self,
+        version: Version,
+        text: &str,
+        hash: Option<ContentHash>,
+        witnesses: Option<Rc<[Witness]>>,
+    ) -> Result<(), ConfigError> {
+        let text = DocumentText::parse(text).map_err(ConfigError::invalid)?;
+        if hash.is_some_and(|hash| hash != text.content_hash()) {
+            return Err(ConfigError::WrongContent { section: "".into() });
+        }
+        let next = InForce::read(version, text, witnesses).map_err(ConfigError::invalid)?;
+        self.install(next, None);
+        Ok(())
+    }
+
+    fn some_peers(&self, max: usize) -> Vec<InstanceId> {
+        let members = self.peers.members().into_iter().map(|member| member.instance);
+        let mut peers: Vec<_> = members.filter(|i| *i != self.itself.instance).collect();
+        peers.shuffle(&mut rand::rng());
+        peers.truncate(max);
+        peers
+    }
+}
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -15,3 +15,11 @@
     /// Hash of the whole text after the change.
     pub content_hash: ContentHash,
 }
+
+impl Change {
+    /// Names, in place of a section, a change that leaves the text as it is and replaces the
+    /// configuration witnesses; `inserted` lists the new ones.
+    pub const WITNESSES: &'static str = "@witnesses";
+    /// Names, in place of a section, the first document. Its text is only in the object store.
+    pub const FIRST: &'static str = "@first";
+}
--- /dev/null
+++ b/src/config/commit.rs
@@ -0,0 +1,152 @@
+//! Commits of a version: notes of the witnesses, the transaction, resolution of lost answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::Clock;
+use crate::config::configuration::LOG;
+use crate::config::confirm::{HEAD_TIMEOUT, in_time, parse_head};
+use crate::config::proposal::Proposal;
+use crate::config::{Change, ChangeRow, ConfigError, ConfigWitnesses, Configuration, Head};
+use crate::platform::{CommitOutcome, Objects, PlatformError, Table, Transaction};
+use crate::units::Version;
+
+/// Reads after a lost answer, at `RESOLVE_PAUSE` each, before the outcome is reported as unknown.
+const RESOLVE_ATTEMPTS: u32 = 12;
+const RESOLVE_PAUSE: Duration = Duration::from_millis(250);
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
+const PUT_TIMEOUT: Duration = Duration::from_secs(5);
+
+enum Resolution {
+    Accepted,
+    /// Nothing was written; the head row is still at the base version, at this revision.
+    NotApplied {
+        revision: u64,
+    },
+}
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Commits the version after `base` in one transaction, if the head row has not changed.
+    pub(super) async fn commit(
+        &self,
+        proposal: Proposal,
+        base: Option<(Head, u64)>,
+    ) -> Result<Version, ConfigError> {
+        let version = proposal.change.version;
+        // The object is stored before the witnesses are asked: witnesses that have noted a version
+        // confirm no older one, so the time from note to commit must be short.
+        if proposal.change.section != Change::WITNESSES {
+            let content = Bytes::copy_from_slice(proposal.next.text.as_str().as_bytes());
+            in_time(PUT_TIMEOUT, self.objects.put(content)).await.map_err(ConfigError::store)?;
+        }
+        let mut revision = None;
+        if let Some((head, base_revision)) = base {
+            self.collect_notes(&head.witnesses, version).await?;
+            revision = Some(base_revision);
+        }
+        for _ in 0..RESOLVE_ATTEMPTS {
+            let transaction = proposal
+                .transaction(revision)
+                .map_err(|_| ConfigError::MalformedRow { key: Head::KEY.into() })?;
+            match in_time(COMMIT_TIMEOUT, self.table.commit(&transaction)).await {
+                Ok(CommitOutcome::Applied { .. }) => return Ok(self.accept(proposal)),
+                Err(source @ PlatformError::Unavailable { .. }) => {
+                    return Err(ConfigError::store(source));
+                }
+                // The commit itself may have been delivered twice: the second delivery conflicts
+                // with the first.
+                Ok(CommitOutcome::Conflict { .. }) => {}
+                Err(error) => {
+                    log::warn!(target: LOG, "commit of version {version} unanswered: {error}");
+                }
+            }
+            match self.resolve(&proposal).await? {
+                Resolution::Accepted => return Ok(self.accept(proposal)),
+                // The row is still at the base version, but no longer at its revision.
+                Resolution::NotApplied { revision: newer } => revision = Some(newer),
+            }
+        }
+        Err(ConfigError::Conflict { current: self.current().version })
+    }
+
+    /// Finds out under the attempt's own id whether a commit took effect.
+    async fn resolve(&self, proposal: &Proposal) -> Result<Resolution, ConfigError> {
+        let version = proposal.change.version;
+        for _ in 0..RESOLVE_ATTEMPTS {
+            match self.read_outcome(version).await {
+                Ok((_, Some(row))) if row.attempt == proposal.attempt => {
+                    return Ok(Resolution::Accepted);
+                }
+                // Change rows are written once, so even an old read of another attempt's is true.
+                Ok((head, Some(_))) => {
+                    let current = head.map_or(version, |(head, _)| head.version.max(version));
+                    self.want(current);
+                    return Err(ConfigError::Conflict { current });
+                }
+                Ok((Some((head, revision)), None)) if head.version < version => {
+                    if let Ok(CommitOutcome::Applied { revision }) =
+                        self.fence(head, revision, version).await
+                    {
+                        return Ok(Resolution::NotApplied { revision });
+                    }
+                }
+                Ok(_) | Err(_) => {}
+            }
+            tokio::time::sleep(RESOLVE_PAUSE).await;
+        }
+        Err(ConfigError::OutcomeUnknown { version })
+    }
+
+    async fn read_outcome(
+        &self,
+        version: Version,
+    ) -> Result<(Option<(Head, u64)>, Option<ChangeRow>), ConfigError> {
+        let key = ChangeRow::key(version);
+        let keys = [Head::KEY.into(), key.clone()];
+        let read = in_time(HEAD_TIMEOUT, self.table.read(&keys));
+        let rows = read.await.map_err(ConfigError::store)?;
+        let head = match rows.first().and_then(Option::as_ref) {
+            Some(row) => Some((parse_head(row)?, row.revision)),
+            None => None,
+        };
+        let malformed = |_| ConfigError::MalformedRow { key: key.into() };
+        let row = match rows.get(1).and_then(Option::as_ref) {
+            Some(row) => Some(serde_json::from_str(&row.value).map_err(malformed)?),
+            None => None,
+        };
+        Ok((head, row))
+    }
+
+    /// Gives the head row a new revision. If that succeeds, a commit of `version` has not taken
+    /// effect, and one that is still on its way never will, since its condition fails.
+    async fn fence(
+        &self,
+        mut head: Head,
+        revision: u64,
+        version: Version,
+    ) -> Result<CommitOutcome, ConfigError> {
+        head.attempt = self.next_attempt();
+        let value = serde_json::to_string(&head)
+            .map_err(|_| ConfigError::MalformedRow { key: Head::KEY.into() })?;
+        let fence = Transaction::default()
+            .require(Head::KEY, Some(revision))
+            .require(ChangeRow::key(version), None)
+            .put(Head::KEY, value);
+        in_time(COMMIT_TIMEOUT, self.table.commit(&fence)).await.map_err(ConfigError::store)
+    }
+
+    /// Brings an accepted version into force here and pushes it to the peers.
+    fn accept(&self, proposal: Proposal) -> Version {
+        let version = proposal.change.version;
+        log::info!(
+            target: LOG,
+            "version {version} accepted: section {}, team {}",
+            proposal.change.section, proposal.team
+        );
+        // A version that is still missing below this one is fetched by `run`.
+        self.install(proposal.next, Some(&proposal.change));
+        self.peers.push(&proposal.change);
+        version
+    }
+}
--- /dev/null
+++ b/src/config/configuration.rs
@@ -0,0 +1,157 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use tokio::sync::{Notify, watch};
+
+use crate::clock::{Clock, Instant};
+use crate::config::recent_changes::RecentChanges;
+use crate::config::{Change, ConfigError, ConfigWitnesses, Head, InForce, Snapshot, Witness};
+use crate::platform::{Objects, Table};
+use crate::units::{AttemptId, Version};
+
+pub(super) const LOG: &str = "config";
+
+/// The configuration on one instance: the version in force, its edits and their propagation.
+pub struct Configuration<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> {
+    pub(super) table: T,
+    pub(super) objects: O,
+    pub(super) clock: C,
+    pub(super) peers: W,
+    /// This run of the instance.
+    pub(super) itself: Witness,
+    pub(super) state: RefCell<State>,
+    versions: watch::Sender<Version>,
+    /// Wakes the task that fills gaps.
+    pub(super) gap: Notify,
+}
+
+pub(super) struct State {
+    pub(super) in_force: Rc<InForce>,
+    pub(super) recent: RecentChanges,
+    /// Newest version that this instance has noted as a witness.
+    pub(super) noted: Version,
+    /// Newest version that this instance has heard of.
+    pub(super) wanted: Version,
+    /// Newest head row that was read.
+    pub(super) head: Option<Head>,
+    /// Latest instant at which no version newer than the one in force existed.
+    pub(super) confirmed_at: Option<Instant>,
+    pub(super) store_read_at: Option<Instant>,
+    /// Whether the last check of the witnesses found one of them not live.
+    pub(super) has_dead_witness: bool,
+    next_sequence: u64,
+}
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Starts at version 0, without a document; `start` or `run` loads the newest one.
+    pub fn new(table: T, objects: O, clock: C, peers: W, itself: Witness) -> Self {
+        let state = State {
+            in_force: Rc::new(InForce::empty()),
+            recent: RecentChanges::default(),
+            noted: Version(0),
+            wanted: Version(0),
+            head: None,
+            confirmed_at: None,
+            store_read_at: None,
+            has_dead_witness: false,
+            next_sequence: 0,
+        };
+        Configuration {
+            table,
+            objects,
+            clock,
+            peers,
+            itself,
+            state: RefCell::new(state),
+            versions: watch::Sender::new(Version(0)),
+            gap: Notify::new(),
+        }
+    }
+
+    /// The version in force on this instance.
+    pub fn current(&self) -> Rc<InForce> {
+        Rc::clone(&self.state.borrow().in_force)
+    }
+
+    /// The version in force, whenever it changes.
+    pub fn subscribe(&self) -> watch::Receiver<Version> {
+        self.versions.subscribe()
+    }
+
+    /// The recent changes after `version`, oldest first. Empty if not all of them are known.
+    pub fn changes_since(&self, version: Version) -> Vec<Change> {
+        self.state.borrow().recent.since(version)
+    }
+
+    pub fn snapshot(&self) -> Snapshot {
+        let in_force = self.current();
+        Snapshot { version: in_force.version, text: in_force.text.as_str().into() }
+    }
+
+    /// Applies a change that a peer pushed and forwards it, if it follows the version in force.
+    /// Returns the version in force. A change after a gap makes `run` fill the gap.
+    pub fn apply(&self, change: Change) -> Version {
+        let current = self.current().version;
+        if change.version.get() == current.get() + 1 {
+            match self.install_change(&change) {
+                Ok(()) => self.peers.push(&change),
+                Err(error) => {
+                    log::warn!(target: LOG, "pushed change {} not applied: {error}", change.version);
+                    self.want(change.version);
+                }
+            }
+        } else if change.version > current {
+            self.want(change.version);
+        }
+        self.current().version
+    }
+
+    /// Records that `version` exists and wakes the task that fetches it.
+    pub(super) fn want(&self, version: Version) {
+        let mut state = self.state.borrow_mut();
+        if version > state.in_force.version {
+            state.wanted = state.wanted.max(version);
+            self.gap.notify_one();
+        }
+    }
+
+    /// Brings the change that follows the version in force into force.
+    pub(super) fn install_change(&self, change: &Change) -> Result<(), ConfigError> {
+        let in_force = self.current();
+        if change.version.get() != in_force.version.get() + 1 {
+            return Err(ConfigError::Conflict { current: in_force.version });
+        }
+        let next = in_force.after(change)?;
+        self.install(next, Some(change));
+        Ok(())
+    }
+
+    /// Brings `next` into force unless a version at least as new already is.
+    pub(super) fn install(&self, next: InForce, change: Option<&Change>) {
+        let version = next.version;
+        {
+            let mut state = self.state.borrow_mut();
+            if version <= state.in_force.version {
+                return;
+            }
+            match change {
+                Some(change) => state.recent.push(change.clone()),
+                None => state.recent.clear(),
+            }
+            state.in_force = Rc::new(next);
+        }
+        self.versions.send_replace(version);
+        metrics::gauge!("almondroad_config_version").set(version.get() as f64);
+        log::info!(target: LOG, "version {version} is in force");
+    }
+
+    pub(super) fn next_attempt(&self) -> AttemptId {
+        let mut state = self.state.borrow_mut();
+        state.next_sequence += 1;
+        AttemptId {
+            instance: self.itself.instance.clone(),
+            incarnation: self.itself.incarnation,
+            sequence: state.next_sequence,
+        }
+    }
+}
--- /dev/null
+++ b/src/config/confirm.rs
@@ -0,0 +1,204 @@
+//! Confirms that no newer version exists, and answers as a configuration witness.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use crate::clock::{Clock, Instant};
+use crate::config::configuration::LOG;
+use crate::config::{ConfigError, ConfigWitnesses, Configuration, Confirmation, Head, Witness};
+use crate::platform::{Objects, PlatformError, Row, Table};
+use crate::units::{Incarnation, Version};
+
+/// A revoked key must stop working within 3 s of its acceptance. The confirmation expires 0.5 s
+/// earlier, which leaves time for the edit's answer and the check of a request.
+const CONFIRMED_MS: u64 = 2500;
+/// A witness that has not answered by then counts as silent.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(800);
+/// A read of the head row that takes longer is not waited for any more. Below the period of
+/// reads, so that a stalled store does not delay the next read.
+pub(super) const HEAD_TIMEOUT: Duration = Duration::from_millis(1000);
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Whether keyed requests may be accepted: no newer version existed 2.5 s ago.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed_deadline().is_some_and(|deadline| self.clock.now() < deadline)
+    }
+
+    pub(super) fn confirmed_deadline(&self) -> Option<Instant> {
+        self.state.borrow().confirmed_at.map(|at| at.plus_ms(CONFIRMED_MS))
+    }
+
+    /// What this instance tells its peers in heartbeats.
+    pub fn confirmation(&self) -> Confirmation {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let age_ms = |at: Option<Instant>| at.map_or(u64::MAX, |at| now.ms_since(at));
+        Confirmation {
+            version: state.in_force.version,
+            has_store: age_ms(state.store_read_at) <= CONFIRMED_MS,
+            confirmed_age_ms: age_ms(state.confirmed_at),
+        }
+    }
+
+    /// Learns from a peer's answer to a heartbeat that this instance sent at `sent_at`. The
+    /// peer's age is counted from `sent_at`, which is before the peer answered.
+    pub fn learn_confirmation(&self, confirmation: Confirmation, sent_at: Instant) {
+        self.want(confirmation.version);
+        if confirmation.version == self.current().version {
+            let sent_ms = sent_at.as_ms();
+            if let Some(at_ms) = sent_ms.checked_sub(confirmation.confirmed_age_ms) {
+                self.confirm(confirmation.version, Instant::from_ms(at_ms));
+            }
+        }
+    }
+
+    /// Records that no version newer than `version` existed at `at`.
+    pub(super) fn confirm(&self, version: Version, at: Instant) {
+        let mut state = self.state.borrow_mut();
+        if version.get() > 0 && version <= state.in_force.version {
+            state.confirmed_at = state.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Notes that `version` is about to be committed. From then on this instance's answers no
+    /// longer confirm an older version. A previous run of the instance cannot be asked.
+    pub fn note_version(&self, version: Version, witness: Incarnation) -> bool {
+        if witness != self.itself.incarnation {
+            return false;
+        }
+        let mut state = self.state.borrow_mut();
+        state.noted = state.noted.max(version);
+        true
+    }
+
+    /// The newest version that this instance has noted or has in force.
+    pub fn noted_version(&self, witness: Incarnation) -> Option<Version> {
+        let state = self.state.borrow();
+        (witness == self.itself.incarnation).then(|| state.noted.max(state.in_force.version))
+    }
+
+    /// Reads the head row and learns from it.
+    pub(super) async fn read_head(&self) -> Result<Option<(Head, u64)>, ConfigError> {
+        let sent_at = self.clock.now();
+        let keys = [Head::KEY.into()];
+        let read = self.table.read(&keys);
+        let rows = in_time(HEAD_TIMEOUT, read).await.map_err(ConfigError::store)?;
+        let Some(Some(row)) = rows.into_iter().next() else {
+            return Ok(None);
+        };
+        let head = parse_head(&row)?;
+        self.learn_head(&head, sent_at);
+        Ok(Some((head, row.revision)))
+    }
+
+    fn learn_head(&self, head: &Head, sent_at: Instant) {
+        let current = self.current();
+        if head.version < current.version {
+            log::warn!(
+                target: LOG,
+                "head row is at version {}, older than {} in force; ignored",
+                head.version, current.version
+            );
+            return;
+        }
+        {
+            let mut state = self.state.borrow_mut();
+            state.store_read_at = state.store_read_at.max(Some(sent_at));
+            if state.head.as_ref().is_none_or(|known| known.version <= head.version) {
+                state.head = Some(head.clone());
+            }
+        }
+        if head.version == current.version {
+            self.learn_witnesses(head);
+            self.confirm(head.version, sent_at);
+        } else {
+            self.want(head.version);
+        }
+    }
+
+    /// Takes the witnesses of the version in force from its head row.
+    fn learn_witnesses(&self, head: &Head) {
+        let mut state = self.state.borrow_mut();
+        if state.in_force.witnesses.is_none() {
+            let witnesses = head.witnesses.as_slice().into();
+            state.in_force = state.in_force.with_witnesses(head.version, witnesses).into();
+        }
+    }
+
+    /// Confirms the version in force by a majority of its witnesses, without the store. A commit
+    /// of a newer version needs a majority that noted it, and both majorities share a witness.
+    pub(super) async fn confirm_by_witnesses(&self) {
+        let sent_at = self.clock.now();
+        let in_force = self.current();
+        let Some(witnesses) = in_force.witnesses.clone() else { return };
+        let answers: FuturesUnordered<_> =
+            witnesses.iter().map(|witness| self.ask_noted(witness)).collect();
+        let agree = answers.map(|noted| noted.is_some_and(|noted| noted <= in_force.version));
+        if has_majority(agree, witnesses.len()).await {
+            self.confirm(in_force.version, sent_at);
+        }
+    }
+
+    async fn ask_noted(&self, witness: &Witness) -> Option<Version> {
+        if *witness == self.itself {
+            return self.noted_version(self.itself.incarnation);
+        }
+        let asked = tokio::time::timeout(WITNESS_TIMEOUT, self.peers.noted_version(witness));
+        asked.await.ok().flatten()
+    }
+
+    /// Has a majority of the witnesses note `version` before it is committed. A witness whose run
+    /// has ended confirms nothing any more, so it needs no note.
+    pub(super) async fn collect_notes(
+        &self,
+        witnesses: &[Witness],
+        version: Version,
+    ) -> Result<(), ConfigError> {
+        let notes: FuturesUnordered<_> =
+            witnesses.iter().map(|witness| self.ask_note(witness, version)).collect();
+        if has_majority(notes, witnesses.len()).await {
+            return Ok(());
+        }
+        Err(ConfigError::NoMajority { version })
+    }
+
+    async fn ask_note(&self, witness: &Witness, version: Version) -> bool {
+        if *witness == self.itself {
+            return self.note_version(version, self.itself.incarnation);
+        }
+        if self.peers.is_gone(witness) {
+            return true;
+        }
+        let asked = self.peers.note_version(witness, version);
+        tokio::time::timeout(WITNESS_TIMEOUT, asked).await.unwrap_or(false)
+    }
+}
+
+/// Limits a call to the platform. What takes longer has no known outcome.
+pub(super) async fn in_time<R>(
+    limit: Duration,
+    call: impl Future<Output = Result<R, PlatformError>>,
+) -> Result<R, PlatformError> {
+    let late = |_| PlatformError::Unanswered { address: "platform".into(), reason: "late".into() };
+    tokio::time::timeout(limit, call).await.map_err(late)?
+}
+
+/// Whether more than half of `total` votes are in favour; returns at the deciding one.
+async fn has_majority(votes: impl StreamExt<Item = bool>, total: usize) -> bool {
+    let mut votes = std::pin::pin!(votes);
+    let mut in_favour = 0;
+    while let Some(vote) = votes.next().await {
+        in_favour += usize::from(vote);
+        if in_favour > total / 2 {
+            return true;
+        }
+    }
+    false
+}
+
+pub(super) fn parse_head(row: &Row) -> Result<Head, ConfigError> {
+    serde_json::from_str(&row.value)
+        .map_err(|_| ConfigError::MalformedRow { key: Head::KEY.into() })
+}
--- /dev/null
+++ b/src/config/document_text.rs
@@ -0,0 +1,109 @@
+use std::ops::Range;
+use std::rc::Rc;
+
+use smol_str::SmolStr;
+
+use crate::config::{Change, ConfigError, Splice};
+use crate::jsonc::{JsoncError, Positions, member_ranges};
+use crate::units::ContentHash;
+
+/// Names of the sections, in the order in which examples list them.
+pub const SECTIONS: [&str; 7] =
+    ["teams", "organisations", "rates", "zones", "models", "endpoints", "routes"];
+
+/// The document's text with the byte range of each section's value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentText {
+    text: Rc<str>,
+    sections: Vec<(SmolStr, Range<usize>)>,
+    content_hash: ContentHash,
+}
+
+impl DocumentText {
+    pub fn parse(text: &str) -> Result<DocumentText, JsoncError> {
+        let content_hash = ContentHash::of_bytes(text.as_bytes());
+        Ok(DocumentText { sections: member_ranges(text)?, text: text.into(), content_hash })
+    }
+
+    /// The text before any document has been accepted.
+    pub(super) fn empty() -> DocumentText {
+        DocumentText {
+            text: "".into(),
+            sections: Vec::new(),
+            content_hash: ContentHash::of_bytes(b""),
+        }
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+
+    pub fn content_hash(&self) -> ContentHash {
+        self.content_hash
+    }
+
+    /// Text of a section's value.
+    pub fn section(&self, name: &str) -> Option<&str> {
+        self.range(name).map(|range| &self.text[range])
+    }
+
+    /// Replaces the value of one section. All bytes outside it stay as they are.
+    pub fn replace_section(
+        &self,
+        name: &str,
+        new_text: &str,
+    ) -> Result<(DocumentText, Splice), ConfigError> {
+        let range =
+            self.range(name).ok_or_else(|| ConfigError::UnknownSection { section: name.into() })?;
+        let new_value = single_value(new_text).map_err(ConfigError::invalid)?;
+        let mut splice = Splice::between(&self.text[range.clone()], new_value);
+        splice.offset_bytes += range.start;
+        let text =
+            splice.apply(&self.text).ok_or(ConfigError::WrongContent { section: name.into() })?;
+        let replaced = DocumentText::parse(&text).map_err(ConfigError::invalid)?;
+        // A value that changes how the rest of the document reads would edit other sections.
+        if !replaced.has_same_sections_but(self, name) {
+            return Err(ConfigError::WrongContent { section: name.into() });
+        }
+        Ok((replaced, splice))
+    }
+
+    /// Applies a change and verifies that the result has the content that the change names.
+    pub fn apply(&self, change: &Change) -> Result<DocumentText, ConfigError> {
+        let wrong = || ConfigError::WrongContent { section: change.section.clone() };
+        let text = Splice::of_change(change).apply(&self.text).ok_or_else(wrong)?;
+        let text = DocumentText::parse(&text).map_err(ConfigError::invalid)?;
+        if text.content_hash != change.content_hash {
+            return Err(wrong());
+        }
+        Ok(text)
+    }
+
+    fn range(&self, name: &str) -> Option<Range<usize>> {
+        self.sections.iter().find(|(n, _)| n == name).map(|(_, range)| range.clone())
+    }
+
+    fn has_same_sections_but(&self, other: &DocumentText, name: &str) -> bool {
+        self.sections.len() == other.sections.len()
+            && self.sections.iter().zip(&other.sections).all(|((a, a_range), (b, b_range))| {
+                let same_text = self.text[a_range.clone()] == other.text[b_range.clone()];
+                a == b && (a == name || same_text)
+            })
+    }
+}
+
+/// The one value in `text`, without the space around it. Comments outside the value are refused:
+/// they would stand outside the section.
+fn single_value(text: &str) -> Result<&str, JsoncError> {
+    let range = Positions::parse(text)?
+        .value_range()
+        .ok_or_else(|| JsoncError::at_offset(text, 0, "expected a value, found nothing"))?;
+    let (before, after) = (&text[..range.start], &text[range.end..]);
+    for (outside, start) in [(before, 0), (after, range.end)] {
+        if let Some(at) = outside.find(|c: char| !c.is_whitespace()) {
+            let message = "expected only the section's value; put comments inside its brackets";
+            return Err(JsoncError::at_offset(text, start + at, message));
+        }
+    }
+    Ok(&text[range])
+}
--- /dev/null
+++ b/src/config/edit.rs
@@ -0,0 +1,158 @@
+//! Edits and the first document: who may make them, and their checks.
+
+use smol_str::SmolStr;
+
+use crate::clock::Clock;
+use crate::config::proposal::Proposal;
+use crate::config::{
+    Change, ChangeRow, ConfigError, ConfigWitnesses, Configuration, DocumentText, Head, InForce,
+    Splice, check_document,
+};
+use crate::platform::{Objects, Table};
+use crate::units::{KeyHash, Version};
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Replaces one section and returns the accepted version. `base` is the version that the new
+    /// text was made from. Unless the error is `OutcomeUnknown`, a failed edit has no effect.
+    pub async fn edit(
+        &self,
+        credential: &str,
+        section: &str,
+        base: Version,
+        new_text: &str,
+    ) -> Result<Version, ConfigError> {
+        let (head, revision) = self.newest_head().await?;
+        let in_force = self.current();
+        let team = self.authorise(credential, Some(section))?;
+        if !self.is_current_but_for_witnesses(base) {
+            return Err(ConfigError::Conflict { current: in_force.version });
+        }
+        let (text, splice) = in_force.text.replace_section(section, new_text)?;
+        if text == in_force.text {
+            return Ok(in_force.version);
+        }
+        let change = change_of(section, splice, &text, in_force.version);
+        let next = checked(change.version, text, &in_force)?;
+        let attempt = self.next_attempt();
+        let witnesses = head.witnesses.clone();
+        let proposal = Proposal { next, change, team, attempt, witnesses };
+        self.commit(proposal, Some((head, revision))).await
+    }
+
+    /// The team that a credential belongs to. With a section, the team must own it.
+    pub fn authorise(
+        &self,
+        credential: &str,
+        section: Option<&str>,
+    ) -> Result<SmolStr, ConfigError> {
+        let in_force = self.current();
+        let hash = KeyHash::of_key(credential);
+        let mut teams = in_force.document.teams.iter();
+        let (name, team) = teams
+            .find(|(_, team)| team.credential_sha256 == hash)
+            .ok_or(ConfigError::UnknownCredential)?;
+        match section {
+            Some(section) if in_force.text.section(section).is_none() => {
+                Err(ConfigError::UnknownSection { section: section.into() })
+            }
+            Some(section) if !team.sections.iter().any(|s| s == section) => {
+                Err(ConfigError::NotOwner { section: section.into() })
+            }
+            _ => Ok(name.clone()),
+        }
+    }
+
+    /// Accepts the first document. Does nothing if a document has been accepted already.
+    pub async fn bootstrap(&self, text: &str) -> Result<Version, ConfigError> {
+        if let Some((head, _)) = self.read_head().await? {
+            self.catch_up().await;
+            return Ok(head.version);
+        }
+        let text = DocumentText::parse(text).map_err(ConfigError::invalid)?;
+        let change = Change {
+            version: Version(1),
+            section: Change::FIRST.into(),
+            offset_bytes: 0,
+            removed_bytes: 0,
+            inserted: String::new(),
+            content_hash: text.content_hash(),
+        };
+        let witnesses = self.choose_witnesses(&[]);
+        let next = checked(change.version, text, &InForce::empty())?
+            .with_witnesses(change.version, witnesses.as_slice().into());
+        let attempt = self.next_attempt();
+        let proposal = Proposal { next, change, team: "".into(), attempt, witnesses };
+        match self.commit(proposal, None).await {
+            // Another instance bootstrapped at the same time.
+            Err(ConfigError::Conflict { current }) => {
+                self.catch_up().await;
+                Ok(current)
+            }
+            outcome => outcome,
+        }
+    }
+
+    /// The newest changes, newest first, with the teams that made them.
+    pub async fn history(&self, limit: u64) -> Result<Vec<ChangeRow>, ConfigError> {
+        let newest = self.current().version.get();
+        let oldest = newest.saturating_sub(limit) + 1;
+        let keys: Vec<_> =
+            (oldest..=newest).rev().map(|version| ChangeRow::key(Version(version))).collect();
+        let rows = self.table.read(&keys).await.map_err(ConfigError::store)?;
+        let rows = keys.into_iter().zip(rows).filter_map(|(key, row)| Some((key, row?)));
+        rows.map(|(key, row)| {
+            serde_json::from_str(&row.value)
+                .map_err(|_| ConfigError::MalformedRow { key: key.into() })
+        })
+        .collect()
+    }
+
+    /// Reads the head row and brings its version into force, so that an edit is checked against
+    /// the newest document and teams.
+    pub(super) async fn newest_head(&self) -> Result<(Head, u64), ConfigError> {
+        let (head, revision) = self.read_head().await?.ok_or(ConfigError::NoDocument)?;
+        if self.current().version < head.version {
+            self.catch_up().await;
+        }
+        let in_force = self.current().version;
+        if head.version < in_force {
+            return Err(ConfigError::StoreBehind { in_force });
+        }
+        if head.version > in_force {
+            return Err(ConfigError::Conflict { current: head.version });
+        }
+        Ok((head, revision))
+    }
+
+    /// A replacement of witnesses must not make an operator's edit fail.
+    fn is_current_but_for_witnesses(&self, base: Version) -> bool {
+        let current = self.current().version;
+        if base >= current {
+            return base == current;
+        }
+        let changes = self.changes_since(base);
+        !changes.is_empty() && changes.iter().all(|change| change.section == Change::WITNESSES)
+    }
+}
+
+fn change_of(section: &str, splice: Splice, text: &DocumentText, base: Version) -> Change {
+    Change {
+        version: Version(base.get() + 1),
+        section: section.into(),
+        offset_bytes: splice.offset_bytes as u64,
+        removed_bytes: splice.removed_bytes as u64,
+        inserted: splice.inserted,
+        content_hash: text.content_hash(),
+    }
+}
+
+/// Checks a text across its sections.
+fn checked(
+    version: Version,
+    text: DocumentText,
+    in_force: &InForce,
+) -> Result<InForce, ConfigError> {
+    let (document, findings) = check_document(text.as_str());
+    let document = document.ok_or(ConfigError::Invalid { findings })?;
+    Ok(InForce::new(version, document, text, in_force.witnesses.clone()))
+}
--- /dev/null
+++ b/src/config/head.rs
@@ -0,0 +1,19 @@
+use serde::{Deserialize, Serialize};
+
+use crate::config::Witness;
+use crate::units::{AttemptId, ContentHash, Version};
+
+/// Value of the row `config/head`: the newest version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    pub version: Version,
+    pub hash: ContentHash,
+    /// Who wrote the row, so that a lost answer can be resolved by reading it.
+    pub attempt: AttemptId,
+    /// A later version is committed only after a majority of these has noted it.
+    pub witnesses: Vec<Witness>,
+}
+
+impl Head {
+    pub const KEY: &'static str = "config/head";
+}
--- /dev/null
+++ b/src/config/in_force.rs
@@ -0,0 +1,81 @@
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::config::{Change, ConfigError, Document, DocumentText, Witness};
+use crate::jsonc::{JsoncError, read_jsonc};
+use crate::units::{ContentHash, KeyHash, OrganisationId, Version};
+
+/// The version in force on this instance.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    pub version: Version,
+    pub document: Rc<Document>,
+    pub text: DocumentText,
+    /// Witnesses of this version; unknown until the head row or their change has been read.
+    pub(super) witnesses: Option<Rc<[Witness]>>,
+    organisations: Rc<HashMap<KeyHash, OrganisationId>>,
+}
+
+impl InForce {
+    /// Version 0: nothing has been accepted, and no key is known.
+    pub fn empty() -> InForce {
+        InForce {
+            version: Version(0),
+            document: Rc::default(),
+            text: DocumentText::empty(),
+            witnesses: None,
+            organisations: Rc::default(),
+        }
+    }
+
+    pub(super) fn new(
+        version: Version,
+        document: Document,
+        text: DocumentText,
+        witnesses: Option<Rc<[Witness]>>,
+    ) -> InForce {
+        let keys = document.organisations.iter().flat_map(|(id, organisation)| {
+            organisation.keys.values().map(|key| (key.sha256, id.clone()))
+        });
+        let organisations = Rc::new(keys.collect());
+        InForce { version, document: Rc::new(document), text, witnesses, organisations }
+    }
+
+    /// Reads a text that was checked when it was accepted.
+    pub(super) fn read(
+        version: Version,
+        text: DocumentText,
+        witnesses: Option<Rc<[Witness]>>,
+    ) -> Result<InForce, JsoncError> {
+        let document = read_jsonc(text.as_str())?;
+        Ok(InForce::new(version, document, text, witnesses))
+    }
+
+    /// The version that `change` leads to.
+    pub(super) fn after(&self, change: &Change) -> Result<InForce, ConfigError> {
+        if change.section == Change::WITNESSES {
+            let witnesses: Vec<Witness> = serde_json::from_str(&change.inserted)
+                .map_err(|_| ConfigError::WrongContent { section: change.section.clone() })?;
+            if change.content_hash != self.content_hash() {
+                return Err(ConfigError::WrongContent { section: change.section.clone() });
+            }
+            return Ok(self.with_witnesses(change.version, witnesses.into()));
+        }
+        let text = self.text.apply(change)?;
+        InForce::read(change.version, text, self.witnesses.clone()).map_err(ConfigError::invalid)
+    }
+
+    pub fn content_hash(&self) -> ContentHash {
+        self.text.content_hash()
+    }
+
+    /// The organisation that a key belongs to.
+    pub fn organisation_of(&self, key: &KeyHash) -> Option<&OrganisationId> {
+        self.organisations.get(key)
+    }
+
+    /// The same document under another version or with other witnesses.
+    pub(super) fn with_witnesses(&self, version: Version, witnesses: Rc<[Witness]>) -> InForce {
+        InForce { version, witnesses: Some(witnesses), ..self.clone() }
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,12 +1,72 @@
 //! The configuration document: contents, checks, edits, versions, keys, propagation.
 
+//mod admin;
+mod catch_up;
 mod change;
+mod change_row;
+mod check;
+mod commit;
+mod config_error;
+mod config_witnesses;
+mod configuration;
+mod confirm;
 mod confirmation;
+mod document;
+mod document_text;
+mod edit;
+mod endpoint;
+mod engine_endpoint;
+mod finding;
+mod head;
+mod in_force;
+mod key;
 mod model;
+mod organisation;
+mod plain_endpoint;
+mod proposal;
+mod rate;
+mod recent_changes;
+mod repeat;
+mod replace_witnesses;
+mod role;
+mod route;
+mod service_state;
+//mod small_edit;
+mod snapshot;
+mod splice;
+mod target;
+mod team;
+mod witness;
+mod zone;
 
+//pub use admin::Admin;
 pub use change::Change;
+pub use change_row::ChangeRow;
+pub use check::check_document;
+pub use config_error::ConfigError;
+pub use config_witnesses::ConfigWitnesses;
+pub use configuration::Configuration;
 pub use confirmation::Confirmation;
-pub use model::{
-    Document, Endpoint, EngineEndpoint, Key, Model, Organisation, PlainEndpoint, Rate, Repeat,
-    Role, Route, ServiceState, Target, Team, Zone,
-};
+pub use document::Document;
+pub use document_text::{DocumentText, SECTIONS};
+pub use endpoint::Endpoint;
+pub use engine_endpoint::EngineEndpoint;
+pub use finding::{Finding, Severity};
+pub use head::Head;
+pub use in_force::InForce;
+pub use key::Key;
+pub use model::Model;
+pub use organisation::Organisation;
+pub use plain_endpoint::PlainEndpoint;
+pub use rate::Rate;
+pub use repeat::Repeat;
+pub use role::Role;
+pub use route::Route;
+pub use service_state::ServiceState;
+//pub use small_edit::SmallEdit;
+pub use snapshot::Snapshot;
+pub use splice::Splice;
+pub use target::Target;
+pub use team::Team;
+pub use witness::Witness;
+pub use zone::Zone;
--- /dev/null
+++ b/src/config/proposal.rs
@@ -0,0 +1,49 @@
+use smol_str::SmolStr;
+
+use crate::config::{Change, ChangeRow, Head, InForce, Witness};
+use crate::platform::Transaction;
+use crate::units::AttemptId;
+
+/// A checked version that is about to be committed.
+pub(super) struct Proposal {
+    pub(super) next: InForce,
+    pub(super) change: Change,
+    pub(super) team: SmolStr,
+    pub(super) attempt: AttemptId,
+    pub(super) witnesses: Vec<Witness>,
+}
+
+impl Proposal {
+    /// Change rows of older versions are deleted, so that the table does not grow without bound.
+    /// At 7,100 changes a day they cover somewhat more than a day.
+    const KEPT_CHANGES: u64 = 10_000;
+
+    /// Writes head and change row together, if the head row is still at `revision`.
+    pub(super) fn transaction(
+        &self,
+        revision: Option<u64>,
+    ) -> Result<Transaction, serde_json::Error> {
+        let version = self.change.version;
+        let head = Head {
+            version,
+            hash: self.change.content_hash,
+            attempt: self.attempt.clone(),
+            witnesses: self.witnesses.clone(),
+        };
+        let row = ChangeRow {
+            change: self.change.clone(),
+            attempt: self.attempt.clone(),
+            team: self.team.clone(),
+        };
+        let key = ChangeRow::key(version);
+        let transaction = Transaction::default()
+            .require(Head::KEY, revision)
+            .require(key.clone(), None)
+            .put(Head::KEY, serde_json::to_string(&head)?)
+            .put(key, serde_json::to_string(&row)?);
+        Ok(match version.get().checked_sub(Proposal::KEPT_CHANGES) {
+            Some(old) if old > 0 => transaction.delete(ChangeRow::key(crate::units::Version(old))),
+            _ => transaction,
+        })
+    }
+}
--- /dev/null
+++ b/src/config/replace_witnesses.rs
@@ -0,0 +1,100 @@
+//! Choice and replacement of the configuration witnesses.
+
+use std::collections::HashMap;
+
+use crate::clock::Clock;
+use crate::config::configuration::LOG;
+use crate::config::proposal::Proposal;
+use crate::config::{Change, ConfigError, ConfigWitnesses, Configuration, Head, Witness};
+use crate::hash::rendezvous_order;
+use crate::peer::Member;
+use crate::platform::{Objects, Table};
+use crate::units::{Version, ZoneId};
+
+/// Witnesses of a fleet of at least this many instances, and of a smaller one.
+const WITNESSES: usize = 5;
+const FEW_WITNESSES: usize = 3;
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Replaces witnesses that are not live. One instance does this, the first live one in
+    /// rendezvous order; should two do it at once, one of them loses with a conflict.
+    pub(super) async fn replace_witnesses(&self) -> Result<(), ConfigError> {
+        let Some(witnesses) = self.current().witnesses.clone() else { return Ok(()) };
+        let chosen = self.choose_witnesses(&witnesses);
+        let is_due = {
+            let needs = !same_set(&chosen, &witnesses) && self.is_replacer();
+            let mut state = self.state.borrow_mut();
+            // A single look may fall into a short loss of heartbeats.
+            std::mem::replace(&mut state.has_dead_witness, needs) && needs
+        };
+        if !is_due {
+            return Ok(());
+        }
+        let (head, revision) = self.newest_head().await?;
+        let chosen = self.choose_witnesses(&head.witnesses);
+        if same_set(&chosen, &head.witnesses) {
+            return Ok(());
+        }
+        let proposal = self.witness_proposal(&head, chosen)?;
+        let version = self.commit(proposal, Some((head, revision))).await?;
+        log::info!(target: LOG, "witnesses replaced in version {version}");
+        Ok(())
+    }
+
+    fn witness_proposal(
+        &self,
+        head: &Head,
+        witnesses: Vec<Witness>,
+    ) -> Result<Proposal, ConfigError> {
+        let in_force = self.current();
+        let version = Version(head.version.get() + 1);
+        let inserted = serde_json::to_string(&witnesses)
+            .map_err(|_| ConfigError::MalformedRow { key: Head::KEY.into() })?;
+        let change = Change {
+            version,
+            section: Change::WITNESSES.into(),
+            offset_bytes: 0,
+            removed_bytes: 0,
+            inserted,
+            content_hash: in_force.content_hash(),
+        };
+        let next = in_force.with_witnesses(version, witnesses.as_slice().into());
+        Ok(Proposal { next, change, team: "".into(), attempt: self.next_attempt(), witnesses })
+    }
+
+    fn is_replacer(&self) -> bool {
+        let members = self.peers.members();
+        let live = members.iter().filter(|member| !member.is_leaving);
+        let mut order: Vec<&str> = live.map(|member| member.instance.as_str()).collect();
+        rendezvous_order(Head::KEY, &mut order);
+        order.first() == Some(&self.itself.instance.as_str())
+    }
+
+    /// Keeps the live ones of `current` and adds live instances, spread over availability zones.
+    pub(super) fn choose_witnesses(&self, current: &[Witness]) -> Vec<Witness> {
+        let mut members = self.peers.members();
+        members.retain(|member| !member.is_leaving);
+        members.sort_by(|a, b| a.instance.as_str().cmp(b.instance.as_str()));
+        let wanted = if members.len() < WITNESSES { FEW_WITNESSES } else { WITNESSES };
+        let (mut chosen, mut others): (Vec<_>, Vec<_>) =
+            members.iter().partition(|member| current.contains(&witness(member)));
+        chosen.truncate(wanted);
+        while chosen.len() < wanted && !others.is_empty() {
+            let mut in_zone: HashMap<&ZoneId, usize> = HashMap::new();
+            chosen.iter().for_each(|member| *in_zone.entry(&member.zone).or_default() += 1);
+            let fewest = |member: &&&Member| in_zone.get(&member.zone).copied().unwrap_or(0);
+            let next = others.iter().enumerate().min_by_key(|(_, member)| fewest(member));
+            let Some((index, _)) = next else { break };
+            chosen.push(others.remove(index));
+        }
+        chosen.into_iter().map(witness).collect()
+    }
+}
+
+fn witness(member: &Member) -> Witness {
+    Witness { instance: member.instance.clone(), incarnation: member.incarnation }
+}
+
+fn same_set(a: &[Witness], b: &[Witness]) -> bool {
+    a.len() == b.len() && a.iter().all(|witness| b.contains(witness))
+}
--- /dev/null
+++ b/src/config/role.rs
@@ -0,0 +1,11 @@
+use serde::Deserialize;
+
+/// Half of a request that an engine runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, derive_more::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    #[display("prefill")]
+    Prefill,
+    #[display("decode")]
+    Decode,
+}
--- /dev/null
+++ b/src/config/route.rs
@@ -0,0 +1,18 @@
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::config::Target;
+use crate::pool::Class;
+
+/// Maps a path to the model pools or to a plain service. The longest matching prefix wins.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    pub path: SmolStr,
+    pub target: Target,
+    #[serde(default)]
+    pub class: Class,
+    /// Open to callers without a key.
+    #[serde(default)]
+    pub open: bool,
+}
--- /dev/null
+++ b/src/config/service_state.rs
@@ -0,0 +1,10 @@
+use serde::Deserialize;
+
+/// Whether new work may go to an availability zone or an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceState {
+    #[default]
+    In,
+    Out,
+}
--- /dev/null
+++ b/src/config/snapshot.rs
@@ -0,0 +1,10 @@
+use std::rc::Rc;
+
+use crate::units::Version;
+
+/// The whole document at a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    pub version: Version,
+    pub text: Rc<str>,
+}
--- a/src/jsonc/locate.rs
+++ b/src/jsonc/locate.rs
@@ -49,7 +49,7 @@
     offset
 }
 
-fn parse(text: &str) -> Result<Option<Value<'_>>, JsoncError> {
+pub(super) fn parse(text: &str) -> Result<Option<Value<'_>>, JsoncError> {
     let options = ParseOptions {
         allow_comments: true,
         allow_trailing_commas: true,
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,257 @@
+//! Edits, propagation and staleness of the configuration, on an in-memory platform.
+
+#[path = "config/fakes.rs"]
+mod fakes;
+#[path = "config/schedules.rs"]
+mod schedules;
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use almondroad::clock::Clock;
+use almondroad::config::{ConfigError, DocumentText, Head, Splice, check_document};
+use almondroad::units::{KeyHash, Version};
+use fakes::{CommitFault, FakeStore, Net};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// A document with two teams: `traffic` owns rates, `platform` owns the rest.
+pub fn document() -> String {
+    let (traffic, platform) = (KeyHash::of_key("traffic"), KeyHash::of_key("platform"));
+    format!(
+        r#"{{
+  // Owners of the sections.
+  "teams": {{
+    "traffic": {{ "credential_sha256": "{traffic}", "sections": ["rates"] }},
+    "platform": {{ "credential_sha256": "{platform}", "sections":
+      ["teams", "organisations", "zones", "models", "endpoints", "routes"] }},
+  }},
+  "organisations": {{ "acacia": {{}} }}, /* customers */
+  "rates": {{ "acacia": {{ "rate_tokens_per_s": 1, "burst_tokens": 1 }} }},
+  "zones": {{ "north": {{ "region": "khomas" }} }}, // é
+  "models": {{}}, "endpoints": {{}},
+  "routes": [],
+}}
+"#
+    )
+}
+
+pub fn rates(rate: u64) -> String {
+    format!(r#"{{ "acacia": {{ "rate_tokens_per_s": {rate}, "burst_tokens": 1 }} }}"#)
+}
+
+/// Seed 1, unless `PROPTEST_RNG_SEED` names another one.
+pub fn proptest_config(cases: u32) -> ProptestConfig {
+    let mut config = ProptestConfig { cases, failure_persistence: None, ..Default::default() };
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
+/// Runs on a `LocalSet` with paused time.
+pub fn run_paused<F: Future>(test: F) -> F::Output {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
+
+/// Starts `count` instances `i0`, `i1`, .. with the first document.
+pub async fn fleet(count: usize) -> Rc<Net> {
+    let (net, store) = (Rc::new(Net::default()), FakeStore::default());
+    for index in 0..count {
+        net.start(&format!("i{index}"), store.of_other_instance()).await;
+    }
+    net.config("i0").bootstrap(&document()).await.unwrap();
+    (0..count).for_each(|index| net.run(&format!("i{index}")));
+    sleep_ms(100).await;
+    net
+}
+
+pub async fn sleep_ms(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+fn head(net: &Net) -> Head {
+    serde_json::from_str(&net.stores()[0].value(Head::KEY).unwrap()).unwrap()
+}
+
+/// Guards against an accepted edit that some instances never see, also when pushes are lost.
+#[test]
+fn an_edit_is_in_force_everywhere_within_3_s() {
+    run_paused(async {
+        let net = fleet(9).await;
+        for (round, loses_pushes) in [false, true].into_iter().enumerate() {
+            net.loses_pushes.set(loses_pushes);
+            let base = net.config("i3").current().version;
+            let edit = rates(100 + round as u64);
+            let version = net.config("i3").edit("traffic", "rates", base, &edit).await.unwrap();
+            sleep_ms(3000).await;
+            for (name, config) in net.all() {
+                assert_eq!(config.current().version, version, "{name}");
+                assert!(config.current().text.as_str().contains(&edit), "{name}");
+            }
+        }
+    });
+}
+
+/// Guards against an edit reported as failed, or made twice, when the commit's answer is lost.
+#[test]
+fn lost_answers_are_resolved_under_the_attempts_id() {
+    run_paused(async {
+        let net = fleet(3).await;
+        let faults = [CommitFault::LoseAnswer, CommitFault::WriteLate, CommitFault::Drop];
+        for (round, fault) in faults.into_iter().chain([CommitFault::Repeat]).enumerate() {
+            let base = net.config("i1").current().version;
+            net.stores()[1].faults.next_commit.set(fault);
+            let edit = rates(200 + round as u64);
+            let accepted = net.config("i1").edit("traffic", "rates", base, &edit).await;
+            assert_eq!(accepted, Ok(Version(base.get() + 1)), "{fault:?}");
+            sleep_ms(1000).await;
+            assert_eq!(head(&net).version, Version(base.get() + 1), "{fault:?}");
+            sleep_ms(3000).await;
+        }
+    });
+}
+
+/// Guards against an edit of another team's section, and against a section's text that closes
+/// the section and adds members of its own.
+#[test]
+fn edits_outside_the_teams_section_are_refused() {
+    run_paused(async {
+        let net = fleet(1).await;
+        let config = net.config("i0");
+        let edit = async |credential: &'static str, section: &'static str, text: &str| {
+            config.edit(credential, section, Version(1), text).await.unwrap_err().code()
+        };
+        assert_eq!(edit("traffic", "zones", "{}").await, "not_owner");
+        assert_eq!(edit("nobody", "rates", "{}").await, "unknown_credential");
+        assert_eq!(edit("traffic", "fees", "{}").await, "unknown_section");
+        for text in ["{}, \"teams\": {}", "{} // x", "{} /*", "", "{} }"] {
+            assert_eq!(edit("traffic", "rates", text).await, "invalid_document", "{text}");
+        }
+        assert_eq!(edit("traffic", "rates", "{}").await, "invalid_document");
+        assert_eq!(head(&net).version, Version(1));
+    });
+}
+
+/// Guards against refused requests during an outage of the store, which the witnesses bridge.
+#[test]
+fn the_witnesses_confirm_while_the_store_is_down_or_stalled() {
+    run_paused(async {
+        for stalled in [false, true] {
+            let net = fleet(5).await;
+            sleep_ms(3000).await;
+            for store in net.stores() {
+                store.faults.stalled.set(stalled);
+                store.faults.down.set(!stalled);
+            }
+            net.cut.borrow_mut().insert("i4".into());
+            for _ in 0..1200 {
+                sleep_ms(50).await;
+                for (name, config) in net.all().iter().take(4) {
+                    assert!(config.is_confirmed(), "{name}, stalled: {stalled}");
+                }
+            }
+            assert!(!net.config("i4").is_confirmed(), "cut off from store and witnesses");
+            assert!(net.config("i0").edit("traffic", "rates", Version(1), "{}").await.is_err());
+        }
+    });
+}
+
+/// Guards against a version that a cut off instance cannot learn of in time: without a majority
+/// of the witnesses nothing may be committed.
+#[test]
+fn an_edit_without_a_majority_of_the_witnesses_has_no_effect() {
+    run_paused(async {
+        let net = fleet(5).await;
+        let writer = head(&net).witnesses[0].instance.as_str().to_owned();
+        net.cut.borrow_mut().insert(writer.clone());
+        let edit = net.config(&writer).edit("traffic", "rates", Version(1), &rates(5)).await;
+        assert_eq!(edit, Err(ConfigError::NoMajority { version: Version(2) }));
+        assert_eq!(head(&net).version, Version(1));
+    });
+}
+
+/// Guards against edits that stop for good because witnesses were replaced one after another,
+/// and against an operator's conflict with a mere replacement of witnesses.
+#[test]
+fn dead_witnesses_are_replaced() {
+    run_paused(async {
+        let net = fleet(8).await;
+        let first = head(&net).witnesses;
+        assert_eq!(first.len(), 5);
+        let store = net.stores()[0].of_other_instance();
+        for witness in &first {
+            let name = witness.instance.as_str();
+            net.start(name, store.of_other_instance()).await;
+            net.run(name);
+            sleep_ms(9000).await;
+        }
+        let now = head(&net).witnesses;
+        assert!(now.iter().all(|witness| !first.contains(witness)), "{now:?}");
+        let edit = net.config("i0").edit("traffic", "rates", Version(1), &rates(7)).await;
+        assert_eq!(edit, Ok(Version(head(&net).version.get())));
+    });
+}
+
+/// Guards against a confirmation that a late answer makes younger than it is.
+#[test]
+fn a_peers_confirmation_counts_from_before_it_was_asked() {
+    run_paused(async {
+        let net = fleet(2).await;
+        let config = net.config("i1");
+        net.stores().iter().for_each(|store| store.faults.down.set(true));
+        let early = (net.config("i0").confirmation(), net.clock("i1").now());
+        net.cut.borrow_mut().extend(["i0".into(), "i1".into()]);
+        sleep_ms(2900).await;
+        config.learn_confirmation(early.0, early.1);
+        assert!(!config.is_confirmed(), "answered 2.9 s after it was asked");
+        config.learn_confirmation(early.0, net.clock("i1").now());
+        assert!(config.is_confirmed(), "answered at once");
+    });
+}
+
+/// Guards against a document accepted although its sections contradict each other.
+#[test]
+fn cross_section_errors_are_found_at_their_positions() {
+    let text = document()
+        .replace(r#""acacia": {} }"#, r#""acacia": {}, "baobab": {} }"#)
+        .replace(
+            r#""rates": { "#,
+            r#""rates": { "camel": {"rate_tokens_per_s":0,"burst_tokens":1}, "#,
+        )
+        .replace(r#", "routes"]"#, r#", "rates"]"#);
+    let (accepted, findings) = check_document(&text);
+    assert!(accepted.is_none());
+    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"), @"
+    line 3, column 3: error: section routes: expected a team that owns it
+    line 4, column 120: error: section rates: expected one team, platform owns it
+    line 8, column 36: error: organisation baobab: expected a member baobab in rates
+    line 9, column 14: error: rate of camel: expected a member camel in organisations
+    line 9, column 24: error: rate_tokens_per_s: expected a number above 0
+    ");
+}
+
+proptest! {
+    #![proptest_config(proptest_config(256))]
+
+    /// Guards against a splice that does not reproduce the new text or splits a character.
+    #[test]
+    fn a_splice_turns_the_old_text_into_the_new(old in "[aé€]{0,8}", new in "[aé€]{0,8}") {
+        prop_assert_eq!(Splice::between(&old, &new).apply(&old), Some(new));
+    }
+
+    /// Guards against an edit that changes bytes outside its section.
+    #[test]
+    fn other_sections_bytes_stay(a in "[a-zé€]{0,6}", b in "[a-z€]{0,6}", c in "[ é]{0,4}") {
+        let text = format!("{{ /*{c}*/ \"x\": {{/*{a}*/}}, // {c}\n \"y\":[\"{a}\"],\"z\": 1 }}");
+        let old = DocumentText::parse(&text).unwrap();
+        let (new, _) = old.replace_section("y", &format!(" [\"{b}\", /* {a} */ ]\n")).unwrap();
+        let start = text.find("[\"").unwrap();
+        prop_assert_eq!(&new.as_str()[..start], &text[..start]);
+        prop_assert!(new.as_str().ends_with(&text[text.find("],").unwrap() + 1..]));
+    }
+}
--- /dev/null
+++ b/tests/config/fakes.rs
@@ -0,0 +1,317 @@
+//! In-memory table, object store and peers that lose, delay and repeat answers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use almondroad::clock::TokioClock;
+use almondroad::config::{Change, ConfigWitnesses, Configuration, Snapshot, Witness};
+use almondroad::peer::Member;
+use almondroad::platform::{CommitOutcome, Objects, PlatformError, Row, Table, Transaction};
+use almondroad::units::{ContentHash, Incarnation, InstanceId, Version};
+use bytes::Bytes;
+
+pub type Config = Configuration<FakeStore, FakeStore, TokioClock, FakePeers>;
+type Rows = BTreeMap<String, Row>;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CommitFault {
+    #[default]
+    None,
+    /// The write takes effect, then its answer is lost.
+    LoseAnswer,
+    /// The answer is lost at once; the write takes effect 600 ms later.
+    WriteLate,
+    /// The call has no effect and no answer.
+    Drop,
+    /// The write takes effect; the call is sent again and its second answer arrives.
+    Repeat,
+}
+
+#[derive(Default)]
+struct Shared {
+    rows: Rows,
+    /// Rows after each commit, for stale reads.
+    history: Vec<Rows>,
+    objects: HashMap<ContentHash, Bytes>,
+    revision: u64,
+}
+
+#[derive(Default)]
+pub struct Faults {
+    pub next_commit: Cell<CommitFault>,
+    /// Reads return the rows as they were this many commits ago.
+    pub stale_by: Cell<usize>,
+    pub objects_missing: Cell<bool>,
+    pub down: Cell<bool>,
+    /// Calls never return.
+    pub stalled: Cell<bool>,
+    pub objects_put: Cell<u32>,
+}
+
+/// One instance's access to the shared store, with its own faults.
+#[derive(Clone, Default)]
+pub struct FakeStore {
+    shared: Rc<RefCell<Shared>>,
+    pub faults: Rc<Faults>,
+}
+
+impl FakeStore {
+    pub fn of_other_instance(&self) -> FakeStore {
+        FakeStore { shared: Rc::clone(&self.shared), faults: Rc::default() }
+    }
+
+    pub fn value(&self, key: &str) -> Option<String> {
+        self.shared.borrow().rows.get(key).map(|row| row.value.clone())
+    }
+
+    async fn reach(&self) -> Result<(), PlatformError> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        if self.faults.stalled.get() {
+            std::future::pending::<()>().await;
+        }
+        if self.faults.down.get() {
+            let (address, reason) = ("fake".into(), "down".into());
+            return Err(PlatformError::Unavailable { address, reason });
+        }
+        Ok(())
+    }
+
+    fn apply(&self, transaction: &Transaction) -> CommitOutcome {
+        let mut shared = self.shared.borrow_mut();
+        for condition in &transaction.conditions {
+            if shared.rows.get(&condition.key).map(|row| row.revision) != condition.revision {
+                return CommitOutcome::Conflict { key: condition.key.clone() };
+            }
+        }
+        shared.revision += 1;
+        let revision = shared.revision;
+        for write in transaction.writes.iter().cloned() {
+            match write.value {
+                Some(value) => shared.rows.insert(write.key, Row { value, revision }),
+                None => shared.rows.remove(&write.key),
+            };
+        }
+        let rows = shared.rows.clone();
+        shared.history.push(rows);
+        CommitOutcome::Applied { revision }
+    }
+}
+
+fn unanswered<T>() -> Result<T, PlatformError> {
+    Err(PlatformError::Unanswered { address: "fake".into(), reason: "lost".into() })
+}
+
+impl Table for FakeStore {
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+        self.reach().await?;
+        let shared = self.shared.borrow();
+        let stale = shared.history.len().checked_sub(1 + self.faults.stale_by.get());
+        let rows = stale.map_or(&shared.rows, |index| &shared.history[index]);
+        Ok(keys.iter().map(|key| rows.get(key).cloned()).collect())
+    }
+
+    async fn scan(
+        &self,
+        _prefix: &str,
+        _after: &str,
+        _limit: usize,
+    ) -> Result<Vec<(String, Row)>, PlatformError> {
+        unanswered()
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError> {
+        self.reach().await?;
+        match self.faults.next_commit.take() {
+            CommitFault::None => Ok(self.apply(transaction)),
+            CommitFault::Drop => unanswered(),
+            CommitFault::LoseAnswer => {
+                self.apply(transaction);
+                unanswered()
+            }
+            CommitFault::Repeat => {
+                self.apply(transaction);
+                Ok(self.apply(transaction))
+            }
+            CommitFault::WriteLate => {
+                let (store, transaction) = (self.clone(), transaction.clone());
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(Duration::from_millis(600)).await;
+                    store.apply(&transaction);
+                });
+                unanswered()
+            }
+        }
+    }
+}
+
+impl Objects for FakeStore {
+    async fn put(&self, content: Bytes) -> Result<ContentHash, PlatformError> {
+        self.reach().await?;
+        let hash = ContentHash::of_bytes(&content);
+        self.shared.borrow_mut().objects.insert(hash, content);
+        self.faults.objects_put.set(self.faults.objects_put.get() + 1);
+        Ok(hash)
+    }
+
+    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, PlatformError> {
+        self.reach().await?;
+        let found = !self.faults.objects_missing.get();
+        Ok(self.shared.borrow().objects.get(&hash).filter(|_| found).cloned())
+    }
+}
+
+/// The instances of a fleet, which call each other directly.
+#[derive(Default)]
+pub struct Net {
+    instances: RefCell<BTreeMap<String, Node>>,
+    /// Instances whose connections are cut.
+    pub cut: RefCell<HashSet<String>>,
+    /// Pushed changes are lost.
+    pub loses_pushes: Cell<bool>,
+    incarnations: Cell<u64>,
+}
+
+pub struct Node {
+    pub config: Rc<Config>,
+    pub store: FakeStore,
+    pub witness: Witness,
+    clock: TokioClock,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+#[derive(Clone)]
+pub struct FakePeers {
+    net: Rc<Net>,
+    itself: String,
+}
+
+impl Net {
+    /// Starts an instance, in place of its previous run if it has one.
+    pub async fn start(self: &Rc<Net>, name: &str, store: FakeStore) -> Rc<Config> {
+        self.kill(name);
+        self.incarnations.set(self.incarnations.get() + 1);
+        let incarnation = Incarnation(self.incarnations.get());
+        let witness = Witness { instance: InstanceId::new(name), incarnation };
+        let peers = FakePeers { net: Rc::clone(self), itself: name.into() };
+        let clock = TokioClock::new();
+        let config = Rc::new(Configuration::new(
+            store.clone(),
+            store.clone(),
+            clock,
+            peers,
+            witness.clone(),
+        ));
+        let node = Node { config: Rc::clone(&config), store, witness, clock, tasks: Vec::new() };
+        self.instances.borrow_mut().insert(name.into(), node);
+        config.start().await;
+        Rc::clone(&config)
+    }
+
+    pub fn run(&self, name: &str) {
+        let mut instances = self.instances.borrow_mut();
+        let node = instances.get_mut(name).unwrap();
+        node.tasks.push(tokio::task::spawn_local(Rc::clone(&node.config).run()));
+    }
+
+    pub fn kill(&self, name: &str) {
+        if let Some(node) = self.instances.borrow_mut().remove(name) {
+            node.tasks.iter().for_each(|task| task.abort());
+        }
+    }
+
+    pub fn config(&self, name: &str) -> Rc<Config> {
+        Rc::clone(&self.instances.borrow()[name].config)
+    }
+
+    pub fn clock(&self, name: &str) -> TokioClock {
+        self.instances.borrow()[name].clock
+    }
+
+    pub fn all(&self) -> Vec<(String, Rc<Config>)> {
+        let instances = self.instances.borrow();
+        instances.iter().map(|(name, node)| (name.clone(), Rc::clone(&node.config))).collect()
+    }
+
+    pub fn stores(&self) -> Vec<FakeStore> {
+        self.instances.borrow().values().map(|node| node.store.clone()).collect()
+    }
+}
+
+impl FakePeers {
+    fn is_cut(&self, other: &str) -> bool {
+        let cut = self.net.cut.borrow();
+        other != self.itself && (cut.contains(&self.itself) || cut.contains(other))
+    }
+
+    async fn reach(&self, name: &InstanceId) -> Option<Rc<Config>> {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        if self.is_cut(name.as_str()) {
+            std::future::pending::<()>().await;
+        }
+        let instances = self.net.instances.borrow();
+        instances.get(name.as_str()).map(|node| Rc::clone(&node.config))
+    }
+}
+
+impl ConfigWitnesses for FakePeers {
+    fn members(&self) -> Vec<Member> {
+        let instances = self.net.instances.borrow();
+        let reachable = instances.iter().filter(|(name, _)| !self.is_cut(name));
+        let member = |(index, (_, node)): (usize, (&String, &Node))| Member {
+            instance: node.witness.instance.clone(),
+            incarnation: node.witness.incarnation,
+            peer_address: "".into(),
+            http_address: "".into(),
+            zone: format!("zone-{}", index % 3).parse().unwrap(),
+            region: "region".parse().unwrap(),
+            is_leaving: false,
+            heartbeat_counter: 0,
+            load_permille: 0,
+        };
+        reachable.enumerate().map(member).collect()
+    }
+
+    fn is_gone(&self, witness: &Witness) -> bool {
+        // Runs of the fakes end only when another run starts.
+        let instances = self.net.instances.borrow();
+        instances.get(witness.instance.as_str()).is_some_and(|node| node.witness != *witness)
+    }
+
+    async fn note_version(&self, witness: &Witness, version: Version) -> bool {
+        let config = self.reach(&witness.instance).await;
+        config.is_some_and(|config| config.note_version(version, witness.incarnation))
+    }
+
+    async fn noted_version(&self, witness: &Witness) -> Option<Version> {
+        self.reach(&witness.instance).await?.noted_version(witness.incarnation)
+    }
+
+    async fn changes_since(
+        &self,
+        peer: &InstanceId,
+        version: Version,
+    ) -> Option<(Vec<Change>, Version)> {
+        let config = self.reach(peer).await?;
+        Some((config.changes_since(version), config.current().version))
+    }
+
+    async fn snapshot(&self, peer: &InstanceId) -> Option<Snapshot> {
+        Some(self.reach(peer).await?.snapshot())
+    }
+
+    fn push(&self, change: &Change) {
+        if self.net.loses_pushes.get() {
+            return;
+        }
+        for (name, _) in self.net.all() {
+            let (peers, change) = (self.clone(), change.clone());
+            tokio::task::spawn_local(async move {
+                if let Some(config) = peers.reach(&InstanceId::new(&name)).await {
+                    config.apply(change);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/tests/config/schedules.rs
@@ -0,0 +1,253 @@
+//! Random schedules of two racing operators with faults of the store and restarts.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use almondroad::config::{Change, ChangeRow, ConfigError, DocumentText, Head, SECTIONS, Splice};
+use almondroad::units::{ContentHash, Version};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+use crate::fakes::{CommitFault, Config, FakeStore, Net};
+use crate::{document, fleet, proptest_config, rates, run_paused, sleep_ms};
+
+const INSTANCES: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// An operator edits through an instance, from the version that it read there.
+    Edit {
+        instance: usize,
+        is_zones: bool,
+        fault: CommitFault,
+    },
+    Wait {
+        ms: u64,
+    },
+    StaleReads {
+        instance: usize,
+        by: usize,
+    },
+    ObjectsMissing {
+        instance: usize,
+        missing: bool,
+    },
+    StoreDown {
+        instance: usize,
+        down: bool,
+    },
+    Cut {
+        instance: usize,
+        cut: bool,
+    },
+    LosePushes {
+        lose: bool,
+    },
+    Restart {
+        instance: usize,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        4 => Just(CommitFault::None),
+        1 => Just(CommitFault::LoseAnswer),
+        1 => Just(CommitFault::WriteLate),
+        1 => Just(CommitFault::Drop),
+        1 => Just(CommitFault::Repeat),
+    ];
+    let instance = 0..INSTANCES;
+    let flag = any::<bool>;
+    prop_oneof![
+        6 => (instance.clone(), flag(), fault)
+            .prop_map(|(instance, is_zones, fault)| Step::Edit { instance, is_zones, fault }),
+        4 => prop_oneof![0..5u64, 100..4000u64].prop_map(|ms| Step::Wait { ms }),
+        1 => (instance.clone(), 0..3usize)
+            .prop_map(|(instance, by)| Step::StaleReads { instance, by }),
+        1 => (instance.clone(), flag())
+            .prop_map(|(instance, missing)| Step::ObjectsMissing { instance, missing }),
+        1 => (instance.clone(), flag()).prop_map(|(instance, down)| Step::StoreDown { instance, down }),
+        1 => (instance.clone(), flag()).prop_map(|(instance, cut)| Step::Cut { instance, cut }),
+        1 => flag().prop_map(|lose| Step::LosePushes { lose }),
+        1 => instance.prop_map(|instance| Step::Restart { instance }),
+    ]
+}
+
+type Outcome = Result<Version, ConfigError>;
+
+#[derive(Default)]
+struct Record {
+    /// Outcome and instant of each edit, by the number that it wrote.
+    edits: RefCell<HashMap<u64, (Outcome, Instant)>>,
+    faults: RefCell<Vec<String>>,
+}
+
+fn section_text(is_zones: bool, number: u64) -> (&'static str, &'static str, String) {
+    if is_zones {
+        let text = format!(r#"{{ "north": {{ "region": "khomas" }} /* edit {number} */ }}"#);
+        ("platform", "zones", text)
+    } else {
+        ("traffic", "rates", rates(number))
+    }
+}
+
+async fn take(step: Step, number: u64, net: &Rc<Net>, record: &Rc<Record>) {
+    let name = |instance: usize| format!("i{instance}");
+    let store = |instance: usize| net.stores()[instance].clone();
+    match step {
+        Step::Edit { instance, is_zones, fault } => {
+            store(instance).faults.next_commit.set(fault);
+            let (config, record) = (net.config(&name(instance)), Rc::clone(record));
+            let base = config.current().version;
+            let (credential, section, text) = section_text(is_zones, number);
+            tokio::task::spawn_local(async move {
+                let outcome = config.edit(credential, section, base, &text).await;
+                record.edits.borrow_mut().insert(number, (outcome, Instant::now()));
+            });
+        }
+        Step::Wait { ms } => sleep_ms(ms).await,
+        Step::StaleReads { instance, by } => store(instance).faults.stale_by.set(by),
+        Step::ObjectsMissing { instance, missing } => {
+            store(instance).faults.objects_missing.set(missing);
+        }
+        Step::StoreDown { instance, down } => store(instance).faults.down.set(down),
+        Step::Cut { instance, cut: true } => {
+            net.cut.borrow_mut().insert(name(instance));
+        }
+        Step::Cut { instance, cut: false } => {
+            net.cut.borrow_mut().remove(&name(instance));
+        }
+        Step::LosePushes { lose } => net.loses_pushes.set(lose),
+        Step::Restart { instance } => {
+            let store = store(instance);
+            let edits = record.edits.borrow().clone();
+            let accepted = edits.values().filter_map(|(outcome, _)| outcome.clone().ok()).max();
+            let started = net.start(&name(instance), store.clone()).await.current().version;
+            net.run(&name(instance));
+            let faults = &store.faults;
+            let reads_store =
+                !faults.down.get() && !faults.objects_missing.get() && faults.stale_by.get() == 0;
+            if reads_store && Some(started) < accepted {
+                let fault = format!("i{instance}: restarted at {started}, below {accepted:?}");
+                record.faults.borrow_mut().push(fault);
+            }
+        }
+    }
+}
+
+/// Watches that no run of an instance goes back, and, unless the store itself is stale, that none
+/// is confirmed 3 s after a newer version was accepted.
+async fn watch(net: Rc<Net>, record: Rc<Record>, is_store_fresh: bool) {
+    // Holding the configurations keeps their addresses from being used again.
+    let mut seen: HashMap<*const Config, (Rc<Config>, Version)> = HashMap::new();
+    loop {
+        sleep_ms(50).await;
+        for (name, config) in net.all() {
+            let version = config.current().version;
+            let before = seen.insert(Rc::as_ptr(&config), (Rc::clone(&config), version));
+            let before = before.map_or(version, |(_, before)| before);
+            let fail = |text: String| record.faults.borrow_mut().push(format!("{name}: {text}"));
+            if version < before {
+                fail(format!("went from {before} back to {version}"));
+            }
+            for (outcome, at) in record.edits.borrow().values() {
+                let is_late = at.elapsed().as_millis() > 3000;
+                if let Ok(accepted) = outcome
+                    && is_store_fresh
+                    && is_late
+                    && *accepted > version
+                    && config.is_confirmed()
+                {
+                    fail(format!("confirmed {version} although {accepted} was accepted"));
+                }
+            }
+        }
+    }
+}
+
+/// Ends all faults and lets the fleet settle.
+async fn heal(net: &Rc<Net>) {
+    net.cut.borrow_mut().clear();
+    for store in net.stores() {
+        store.faults.stale_by.set(0);
+        store.faults.objects_missing.set(false);
+        store.faults.down.set(false);
+        store.faults.next_commit.take();
+    }
+    sleep_ms(30_000).await;
+}
+
+/// The texts of all versions, from the change rows.
+fn texts(store: &FakeStore) -> Vec<(Change, DocumentText)> {
+    let head: Head = serde_json::from_str(&store.value(Head::KEY).unwrap()).unwrap();
+    let mut text = DocumentText::parse(&document()).unwrap();
+    let mut texts = Vec::new();
+    for version in 1..=head.version.get() {
+        let row = store.value(&ChangeRow::key(Version(version))).unwrap();
+        let change = serde_json::from_str::<ChangeRow>(&row).unwrap().change;
+        if !change.section.starts_with('@') {
+            let spliced = Splice::of_change(&change).apply(text.as_str()).unwrap();
+            text = DocumentText::parse(&spliced).unwrap();
+        }
+        assert_eq!(ContentHash::of_bytes(text.as_str().as_bytes()), change.content_hash);
+        texts.push((change, text.clone()));
+    }
+    assert_eq!(texts.last().unwrap().1.content_hash(), head.hash);
+    texts
+}
+
+fn verify(net: &Net, record: &Record) {
+    assert_eq!(*record.faults.borrow(), Vec::<String>::new());
+    let texts = texts(&net.stores()[0]);
+    for pair in texts.windows(2) {
+        let [(_, before), (change, after)] = pair else { unreachable!() };
+        for section in SECTIONS.iter().filter(|section| **section != change.section) {
+            assert_eq!(before.section(section), after.section(section), "{}", change.version);
+        }
+    }
+    for (number, (outcome, _)) in record.edits.borrow().iter() {
+        let marks = [format!("edit {number} "), format!(": {number},")];
+        let has = |text: &DocumentText| marks.iter().any(|mark| text.as_str().contains(mark));
+        let made = texts.windows(2).filter(|pair| !has(&pair[0].1) && has(&pair[1].1));
+        let made: Vec<_> = made.map(|pair| pair[1].0.version).collect();
+        match outcome {
+            Ok(version) => assert_eq!(made, [*version], "accepted edit {number}"),
+            Err(ConfigError::OutcomeUnknown { version }) => {
+                assert!(made.is_empty() || made == [*version], "unknown edit {number}: {made:?}");
+            }
+            Err(error) => assert!(made.is_empty(), "edit {number}, {error}: {made:?}"),
+        }
+    }
+    let (newest, text) = texts.last().unwrap();
+    for (name, config) in net.all() {
+        assert_eq!(config.current().version, newest.version, "{name}");
+        assert_eq!(config.current().text.as_str(), text.as_str(), "{name}");
+        assert!(config.is_confirmed(), "{name}");
+    }
+}
+
+proptest! {
+    #![proptest_config(proptest_config(300))]
+
+    /// Guards against lost or repeated edits, versions that go back, changed bytes of other
+    /// sections and confirmations that outlive a newer version.
+    #[test]
+    fn accepted_edits_survive_races_faults_and_restarts(
+        steps in prop::collection::vec(step(), 1..40)
+    ) {
+        run_paused(async {
+            let net = fleet(INSTANCES).await;
+            let record = Rc::new(Record::default());
+            let is_store_fresh = !steps.iter().any(|step| matches!(step, Step::StaleReads { .. }));
+            let watching =
+                tokio::task::spawn_local(watch(Rc::clone(&net), Rc::clone(&record), is_store_fresh));
+            for (index, step) in steps.into_iter().enumerate() {
+                take(step, 1000 + index as u64, &net, &record).await;
+            }
+            heal(&net).await;
+            watching.abort();
+            verify(&net, &record);
+        });
+    }
+}
