--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use almondroad::units::ShardId;
+use almondroad::lease::{Holding, LeaseClaim};
+use almondroad::units::{Fencing, Incarnation, ShardId};
 use lease_sim::{Link, TableFault, World};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -196,6 +197,85 @@
     });
 }
 
+/// Guards against a deadline counted from the answer: a slow answer would prolong the lease beyond
+/// the moment at which another instance may take it.
+#[test]
+fn slow_answer_does_not_prolong_the_lease() {
+    for offset_ms in (0..1000).step_by(50) {
+        simulate(async {
+            let world = settled(9, 5, budgets(1)).await;
+            let old = world.holder(&ShardId::Budget(0)).unwrap();
+            world.table_fault(TableFault::Slow(0, 950), 2000 + offset_ms);
+            world.run_for(2000 + offset_ms).await;
+            world.isolate_from_peers(old, MINUTE_MS);
+            world.cut(Link::ToTable(old), MINUTE_MS);
+            world.run_for(6000).await;
+            assert!(world.holder(&ShardId::Budget(0)).is_some_and(|new| new != old));
+        });
+    }
+}
+
+/// Guards against a witness that both extends a lease and consents to its takeover, or that answers
+/// for its previous incarnation or for another run of the holder.
+#[test]
+fn extension_and_consent_exclude_each_other() {
+    simulate(async {
+        let world = World::new(10, 1, 0, Vec::new());
+        world.start(0);
+        let witness = world.leases(0).unwrap();
+        let claim = |fencing, holder_run| LeaseClaim {
+            holding: Holding {
+                shard: ShardId::Budget(0),
+                holder: "other".parse().unwrap(),
+                incarnation: Incarnation(holder_run),
+                fencing: Fencing(fencing),
+            },
+            witness_incarnation: world.member(0).incarnation,
+        };
+        let mut restarted = claim(7, 1);
+        restarted.witness_incarnation = Incarnation(1);
+        assert!(!witness.extend(&restarted) && !witness.consent(&restarted));
+        assert!(witness.extend(&claim(7, 1)));
+        assert!(!witness.extend(&claim(7, 2)) && !witness.consent(&claim(7, 2)));
+        world.run_for(3400).await;
+        assert!(!witness.consent(&claim(7, 1)), "the promise lasts for TTL and margin");
+        world.run_for(200).await;
+        assert!(witness.consent(&claim(7, 1)) && witness.consent(&claim(7, 1)));
+        world.run_for(MINUTE_MS).await;
+        assert!(!witness.extend(&claim(7, 1)), "the takeover may take effect at any time");
+        assert!(!witness.extend(&claim(6, 1)) && !witness.consent(&claim(6, 1)));
+        assert!(witness.extend(&claim(8, 2)) && !witness.consent(&claim(8, 2)));
+    });
+}
+
+/// Guards against an extension by the known row's witnesses alone, while a renewal without an answer
+/// has put other witnesses into the row.
+#[test]
+fn extension_asks_the_witnesses_of_an_unanswered_renewal() {
+    simulate(async {
+        let world = settled(11, 8, budgets(1)).await;
+        let shard = ShardId::Budget(0);
+        let old = world.holder(&shard).unwrap();
+        let is_witness = |i: &usize| {
+            let named = world.row(&shard).unwrap().witnesses;
+            named.iter().any(|w| w.instance == world.member(*i).instance)
+        };
+        let others = (0..8).filter(|i| *i != old);
+        let (first, second): (Vec<usize>, Vec<usize>) = others.partition(is_witness);
+        let cut = |other: usize, for_ms| {
+            world.cut(Link::Peers(old, other), for_ms);
+            world.cut(Link::Peers(other, old), for_ms);
+        };
+        world.cut(Link::FromTable(old), MINUTE_MS);
+        first[1..].iter().for_each(|i| cut(*i, 1300));
+        world.run_for(1300).await;
+        assert!(second.iter().all(is_witness), "the renewal took effect");
+        second.iter().for_each(|i| cut(*i, MINUTE_MS));
+        world.run_for(20_000).await;
+        assert!(world.holder(&shard).is_some_and(|new| new != old));
+    });
+}
+
 #[derive(Clone, Debug)]
 enum Fault {
     Table(TableFault),
@@ -204,6 +284,7 @@
     Isolate(usize),
     Pause(usize),
     Kill(usize),
+    HandOver(usize, u32),
 }
 
 const NODES: usize = 5;
@@ -226,6 +307,7 @@
         1 => (0..NODES).prop_map(Fault::Isolate),
         3 => (0..NODES).prop_map(Fault::Pause),
         2 => (0..NODES).prop_map(Fault::Kill),
+        3 => (0..NODES, 0..2u32).prop_map(|(i, shard)| Fault::HandOver(i, shard)),
     ]
 }
 
@@ -236,6 +318,16 @@
         Fault::IsolateFromPeers(i) => world.isolate_from_peers(i, for_ms),
         Fault::Isolate(i) => world.isolate(i, for_ms),
         Fault::Pause(i) => world.pause(i, for_ms),
+        Fault::HandOver(i, shard) => {
+            let Some(leases) = world.leases(i) else { return };
+            spawn_local(async move {
+                let shard = ShardId::Budget(shard);
+                if let Some(to) = leases.successors(&shard).first() {
+                    // Faults may prevent it; only the rules count.
+                    let _ = leases.hand_over(&shard, to).await;
+                }
+            });
+        }
         Fault::Kill(i) => {
             world.kill(i);
             let world = world.clone();
