Keep the rendezvous order of shards until the membership changes

Cause: hashing 370 members for 172 shards twice a second would cost an instance more than the 2.5% of a core that control may take (estimate from the counts, not measured). Conclusion: a poll hashes only after the membership has changed.

--- a/src/lease/leases.rs
+++ b/src/lease/leases.rs
@@ -9,7 +9,8 @@
 use crate::lease::observed::Observed;
 use crate::lease::own_lease::Lease;
 use crate::lease::promises::Promises;
-use crate::lease::selection::{WitnessChoice, ranked};
+use crate::lease::ranking::{Order, Ranking};
+use crate::lease::selection::WitnessChoice;
 use crate::lease::{
     Held, Holding, LeaseClaim, LeaseEvent, LeaseRow, LeasesBuilder, Witness, Witnesses,
 };
@@ -45,6 +46,7 @@
     pub handing_over: BTreeMap<ShardId, Instant>,
     /// Instances that did not renew a lease they had; nothing is moved to them until then.
     pub failed: BTreeMap<Witness, Instant>,
+    pub ranking: Ranking,
     known: KnownHoldings,
     promises: Promises,
     events: Vec<mpsc::UnboundedSender<LeaseEvent>>,
@@ -158,18 +160,18 @@
         }
     }
 
-    /// Live members, this instance included.
-    pub(super) fn members(&self) -> Vec<Member> {
+    /// Takes the current membership, this instance included. Each round starts with it.
+    pub(super) fn refresh_members(&self) {
         let mut members = self.settings.witnesses.candidates();
         if !members.iter().any(|m| m.instance == self.own().instance) {
             members.push(self.own().clone());
         }
-        members
+        self.state.borrow_mut().ranking.set_members(members);
     }
 
     /// Members that may hold the shard, in rendezvous order.
-    pub(super) fn candidates(&self, shard: &ShardId, members: &[Member]) -> Vec<Member> {
-        ranked(shard, members).into_iter().filter(|m| !m.is_leaving).collect()
+    pub(super) fn order(&self, shard: &ShardId) -> Rc<Order> {
+        self.state.borrow_mut().ranking.order(shard)
     }
 
     /// Witnesses for the next write of a row with this holder.
@@ -180,8 +182,9 @@
         current: &[Witness],
         refused: &[Witness],
     ) -> Vec<Witness> {
-        let ranked = self.candidates(shard, &self.members());
-        let choice = WitnessChoice { holder, ranked: &ranked, current, refused };
+        let order = self.order(shard);
+        let live = self.state.borrow().ranking.live();
+        let choice = WitnessChoice { holder, order: &order, live: &live, current, refused };
         choice
             .choose(|instance, incarnation| self.settings.witnesses.is_gone(instance, incarnation))
     }
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -21,6 +21,7 @@
 mod own_lease;
 mod poll;
 mod promises;
+mod ranking;
 mod rebalance;
 mod renew;
 mod selection;
--- a/src/lease/poll.rs
+++ b/src/lease/poll.rs
@@ -40,11 +40,11 @@
 
     /// Shards to read, with this instance's rank.
     fn watched(&self, listed: &[ShardId]) -> Vec<(ShardId, u64)> {
-        let members = self.members();
+        self.refresh_members();
         let mut watched = Vec::new();
         for shard in listed {
-            let candidates = self.candidates(shard, &members);
-            let Some(rank) = candidates.iter().position(|m| m.instance == self.own().instance)
+            let Some(rank) =
+                self.order(shard).first.iter().position(|m| m.instance == self.own().instance)
             else {
                 continue;
             };
@@ -55,7 +55,11 @@
             }
         }
         let kept: BTreeSet<&ShardId> = watched.iter().map(|(shard, _)| shard).collect();
-        self.state.borrow_mut().observed.retain(|shard, _| kept.contains(shard));
+        let listed: BTreeSet<&ShardId> = listed.iter().collect();
+        let mut state = self.state.borrow_mut();
+        state.observed.retain(|shard, _| kept.contains(shard));
+        state.ranking.retain(|shard| listed.contains(shard));
+        drop(state);
         watched
     }
 
@@ -152,8 +156,8 @@
     /// Other live instances that may hold the shard, in rendezvous order. Instances that recently
     /// let a lease lapse come last.
     pub fn successors(&self, shard: &ShardId) -> Vec<Member> {
-        let members = self.members();
-        let mut successors = self.candidates(shard, &members);
+        self.refresh_members();
+        let mut successors = self.order(shard).first.clone();
         successors.retain(|m| m.instance != self.own().instance);
         successors.sort_by_key(|m| self.has_failed(m));
         successors
--- a/src/lease/rebalance.rs
+++ b/src/lease/rebalance.rs
@@ -43,11 +43,11 @@
     fn plan_moves(&self) -> Vec<(ShardId, Member)> {
         let now = self.now();
         self.state.borrow_mut().failed.retain(|_, at| now < at.plus_ms(FAILED_MS));
-        let members = self.members();
+        self.refresh_members();
         let held: Vec<ShardId> = self.state.borrow().leases.keys().cloned().collect();
         let mut moves = Vec::new();
         for shard in held {
-            let first = self.preferred(&shard, &members);
+            let first = self.preferred(&shard);
             let mut state = self.state.borrow_mut();
             let Some(lease) = state.leases.get_mut(&shard) else { continue };
             let is_same = |known: &Member, first: &Member| Witness::of(known) == Witness::of(first);
@@ -71,10 +71,10 @@
     }
 
     /// The first in rendezvous order, if it is another instance.
-    fn preferred(&self, shard: &ShardId, members: &[Member]) -> Option<Member> {
-        let candidates = self.candidates(shard, members);
-        let first = candidates.into_iter().find(|m| !self.has_failed(m))?;
-        (first.instance != self.own().instance).then_some(first)
+    fn preferred(&self, shard: &ShardId) -> Option<Member> {
+        let order = self.order(shard);
+        let first = order.first.iter().find(|m| !self.has_failed(m))?;
+        (first.instance != self.own().instance).then(|| first.clone())
     }
 
     async fn move_to(&self, shard: &ShardId, to: &Member) {
--- a/src/lease/renew.rs
+++ b/src/lease/renew.rs
@@ -89,27 +89,26 @@
     }
 
     fn plan_renewals(&self) -> Vec<Renewal> {
-        let state = self.state.borrow();
-        let known = state.leases.iter().filter(|(_, lease)| !lease.must_read);
-        known
-            .map(|(shard, lease)| {
-                let witnesses = match &lease.pending {
-                    Some(pending) => pending.witnesses.clone(),
-                    None => {
-                        self.choose_witnesses(shard, self.own(), &lease.witnesses, &lease.refused)
-                    }
-                };
-                let row = LeaseRow {
-                    holder: self.own().instance.clone(),
-                    incarnation: self.own().incarnation,
-                    fencing: lease.fencing,
-                    renewal: lease.renewal + 1,
-                    witnesses,
-                    attempt: self.next_attempt(),
-                };
-                Renewal { shard: shard.clone(), known: (lease.fencing, lease.revision), row }
-            })
-            .collect()
+        self.refresh_members();
+        let leases = self.state.borrow().leases.clone();
+        let known = leases.iter().filter(|(_, lease)| !lease.must_read);
+        known.map(|(shard, lease)| self.plan_renewal(shard, lease)).collect()
+    }
+
+    fn plan_renewal(&self, shard: &ShardId, lease: &Lease) -> Renewal {
+        let witnesses = match &lease.pending {
+            Some(pending) => pending.witnesses.clone(),
+            None => self.choose_witnesses(shard, self.own(), &lease.witnesses, &lease.refused),
+        };
+        let row = LeaseRow {
+            holder: self.own().instance.clone(),
+            incarnation: self.own().incarnation,
+            fencing: lease.fencing,
+            renewal: lease.renewal + 1,
+            witnesses,
+            attempt: self.next_attempt(),
+        };
+        Renewal { shard: shard.clone(), known: (lease.fencing, lease.revision), row }
     }
 
     /// Updates the leases that are still as they were when the renewals were planned. One that was
--- a/src/lease/selection.rs
+++ b/src/lease/selection.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use crate::hash::rendezvous_order;
 use crate::lease::Witness;
+use crate::lease::ranking::Order;
 use crate::peer::Member;
 use crate::units::{Incarnation, InstanceId, ShardId, ZoneId};
 
@@ -15,22 +15,6 @@
     }
 }
 
-struct ByInstance<'a>(&'a Member);
-
-impl AsRef<str> for ByInstance<'_> {
-    fn as_ref(&self) -> &str {
-        self.0.instance.as_str()
-    }
-}
-
-/// Eligible members in the shard's rendezvous order.
-pub(super) fn ranked(shard: &ShardId, members: &[Member]) -> Vec<Member> {
-    let mut order: Vec<ByInstance> =
-        members.iter().filter(|m| is_eligible(shard, m)).map(ByInstance).collect();
-    rendezvous_order(&shard.to_string(), &mut order);
-    order.into_iter().map(|m| m.0.clone()).collect()
-}
-
 /// 5 witnesses, 3 in fleets under 5, 1 in fleets under 3.
 fn witness_count(fleet: usize) -> usize {
     match fleet {
@@ -43,8 +27,9 @@
 /// Chooses a row's witnesses.
 pub(super) struct WitnessChoice<'a> {
     pub holder: &'a Member,
-    /// Eligible live members in rendezvous order.
-    pub ranked: &'a [Member],
+    pub order: &'a Order,
+    /// Live members that are not leaving.
+    pub live: &'a [Member],
     pub current: &'a [Witness],
     pub refused: &'a [Witness],
 }
@@ -58,8 +43,7 @@
         let spare = |w: &&Witness| !self.is_good(w) && !is_gone(&w.instance, w.incarnation);
         let kept = self.current.iter().filter(|w| **w != chosen[0]);
         let doubtful: Vec<Witness> = kept.clone().filter(spare).cloned().collect();
-        let fleet = self.ranked.iter().filter(|m| m.instance != self.holder.instance).count() + 1;
-        let count = witness_count(fleet).max(match doubtful.is_empty() {
+        let count = witness_count(self.fleet()).max(match doubtful.is_empty() {
             true => 1,
             false => self.current.len(),
         });
@@ -74,16 +58,22 @@
         chosen
     }
 
+    /// A leaving holder still counts, so that a small fleet does not lose its witnesses with it.
+    fn fleet(&self) -> usize {
+        let is_counted = self.live.iter().any(|m| m.instance == self.holder.instance);
+        self.order.fleet + usize::from(!is_counted)
+    }
+
     fn is_good(&self, witness: &Witness) -> bool {
-        self.ranked.iter().any(|m| Witness::of(m) == *witness) && !self.refused.contains(witness)
+        self.live.iter().any(|m| Witness::of(m) == *witness) && !self.refused.contains(witness)
     }
 
     fn next(&self, chosen: &[Witness]) -> Option<Witness> {
         let mut per_zone: HashMap<&ZoneId, usize> = HashMap::new();
-        for member in self.ranked.iter().filter(|m| chosen.contains(&Witness::of(m))) {
+        for member in self.live.iter().filter(|m| chosen.contains(&Witness::of(m))) {
             *per_zone.entry(&member.zone).or_default() += 1;
         }
-        let free = self.ranked.iter().filter(|m| {
+        let free = self.order.first.iter().filter(|m| {
             let witness = Witness::of(m);
             self.is_good(&witness) && !chosen.iter().any(|c| c.instance == witness.instance)
         });
