--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -1,6 +1,6 @@
 use serde::Deserialize;
 
-use crate::units::Tokens;
+use crate::units::{Pieces, Tokens};
 
 /// Sizes and costs of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -24,4 +24,9 @@
     pub fn max_request_tokens(&self) -> Tokens {
         self.max_prompt_tokens + self.max_output_tokens
     }
+
+    /// Pieces of engine memory that hold the KV cache of this many tokens.
+    pub fn pieces_for(&self, tokens: Tokens) -> Pieces {
+        Pieces(tokens.0.div_ceil(self.tokens_per_piece.0.max(1)))
+    }
 }
--- a/src/once/plain_request.rs
+++ b/src/once/plain_request.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use hyper::header::{ACCEPT, CONTENT_TYPE};
+use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderName};
 use hyper::{HeaderMap, Method, Uri};
 use smol_str::SmolStr;
 
@@ -40,10 +40,10 @@
         let names = [ACCEPT.as_str(), CONTENT_TYPE.as_str()];
         for name in names.into_iter().chain(PASSED_HEADERS) {
             let Some(value) = headers.get(name) else { continue };
-            if !carries_key(value.to_str().unwrap_or_default(), key) {
-                if let Ok(name) = name.parse::<hyper::header::HeaderName>() {
-                    passed.insert(name, value.clone());
-                }
+            if !carries_key(value.to_str().unwrap_or_default(), key)
+                && let Ok(name) = name.parse::<HeaderName>()
+            {
+                passed.insert(name, value.clone());
             }
         }
         PlainRequest { method, path_and_query: without_key(uri, key), headers: passed, body }
--- a/src/serve/charge.rs
+++ b/src/serve/charge.rs
@@ -17,7 +17,7 @@
     let charged = node.allowances.charge(&call.organisation, tokens, deadline).await;
     charged.map_err(|error| match error {
         BudgetError::Exhausted { retry_after_ms } => CallError::RateExceeded { retry_after_ms },
-        BudgetError::LargerThanBurst { .. } => CallError::LargerThanBurst,
+        BudgetError::LargerThanBurst => CallError::LargerThanBurst,
         BudgetError::Unreachable | BudgetError::UnknownOrganisation => {
             CallError::BudgetUnreachable { retry_after_ms: UNREACHABLE_RETRY_MS }
         }
