--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,25 @@
+use pico_args::Arguments;
+use similar::TextDiff;
+
+use crate::cmd::{CmdError, Gateway, Options, no_more, read_file, required};
+
+pub(super) const USAGE: &str = "\
+usage: almondroad diff SECTION FILE
+
+Compares the section in force with a file, as a unified diff. Exit code 1 if they differ.
+";
+
+pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
+    let section = required(&mut arguments, "SECTION")?;
+    let path = required(&mut arguments, "FILE")?;
+    no_more(arguments)?;
+    let file = read_file(&path)?;
+    let read = Gateway::of(options)?.get_text(Some(&section)).await?;
+    let (old, new) = (read.text.trim(), file.trim());
+    if old == new {
+        return Ok(());
+    }
+    let label = format!("{section} at version {}", read.version);
+    print!("{}", TextDiff::from_lines(old, new).unified_diff().header(&label, &path));
+    Err(CmdError::Different)
+}
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,137 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::Method;
+use hyper::header::{AUTHORIZATION, ETAG, HeaderName, HeaderValue, IF_MATCH};
+use serde::Deserialize;
+use serde_json::Value;
+use smol_str::ToSmolStr;
+
+use crate::cmd::{CmdError, Credential, Options, Refusal};
+use crate::http::{HttpClient, HttpError};
+
+/// An edit whose outcome has to be resolved takes the gateway up to some 20 s.
+const TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Client of one instance's operators' interface.
+pub struct Gateway {
+    client: HttpClient,
+    credential: Credential,
+}
+
+/// A text with the version it belongs to.
+pub struct VersionedText {
+    pub version: u64,
+    pub text: String,
+}
+
+#[derive(Deserialize)]
+struct ErrorAnswer {
+    error: Refusal,
+}
+
+impl Gateway {
+    pub fn of(options: &Options) -> Result<Gateway, CmdError> {
+        let client = HttpClient::new(options.gateway()?);
+        Ok(Gateway { client, credential: options.credential()? })
+    }
+
+    pub async fn get_json(&self, path: &str) -> Result<Value, CmdError> {
+        let (_, body) = self.call(Method::GET, path, None, Bytes::new()).await?;
+        self.parse(&body)
+    }
+
+    pub async fn get_text(&self, section: Option<&str>) -> Result<VersionedText, CmdError> {
+        let path = section.map_or_else(|| "document".into(), |name| format!("sections/{name}"));
+        let (tag, body) = self.call(Method::GET, &path, None, Bytes::new()).await?;
+        let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
+        let text = String::from_utf8(body.into()).ok();
+        match (version, text) {
+            (Some(version), Some(text)) => Ok(VersionedText { version, text }),
+            _ => Err(self.malformed("a text without its version")),
+        }
+    }
+
+    /// Puts a section's text and returns the accepted version.
+    pub async fn put_section(
+        &self,
+        section: &str,
+        base: u64,
+        text: String,
+    ) -> Result<Value, CmdError> {
+        let path = format!("sections/{section}");
+        let (_, body) = self.call(Method::PUT, &path, Some(base), text.into()).await?;
+        self.parse(&body)
+    }
+
+    /// Makes a small edit: a key, an availability zone or an endpoint.
+    pub async fn edit(&self, method: Method, path: &str) -> Result<Value, CmdError> {
+        let (_, body) = self.call(method, path, None, Bytes::new()).await?;
+        self.parse(&body)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        base: Option<u64>,
+        body: Bytes,
+    ) -> Result<(Option<String>, Bytes), CmdError> {
+        let is_read = method == Method::GET;
+        let path = format!("/admin/v1/{path}");
+        let mut request = self
+            .client
+            .request(method, &path, body)
+            .map_err(|_| CmdError::usage(format!("{path} is not a valid path or address")))?;
+        let mut set = |name: HeaderName, value: String| {
+            let value = HeaderValue::from_str(&value)
+                .map_err(|_| CmdError::usage("the credential holds characters of no credential"))?;
+            request.headers_mut().insert(name, value);
+            Ok::<_, CmdError>(())
+        };
+        set(AUTHORIZATION, format!("Bearer {}", self.credential.0))?;
+        if let Some(base) = base {
+            set(IF_MATCH, format!("\"{base}\""))?;
+        }
+        let failed = |source: HttpError| {
+            if is_read || source.is_unsent() {
+                CmdError::Unreachable { source }
+            } else {
+                CmdError::Broken { source }
+            }
+        };
+        let response = self.client.send(request, TIMEOUT).await.map_err(failed)?;
+        let status = response.status();
+        let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        let tag = tag.map(str::to_owned);
+        let address = self.client.address();
+        let body = tokio::time::timeout(
+            TIMEOUT,
+            Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect(),
+        )
+        .await
+        .map_err(|_| failed(HttpError::Timeout { address: address.clone() }))?
+        .map_err(|e| {
+            failed(HttpError::Broken { address: address.clone(), reason: e.to_smolstr() })
+        })?
+        .to_bytes();
+        if status.is_success() {
+            return Ok((tag, body));
+        }
+        match serde_json::from_slice::<ErrorAnswer>(&body) {
+            Ok(answer) => Err(answer.error.into()),
+            Err(_) => Err(self.malformed(&format!("status {status} without an error"))),
+        }
+    }
+
+    fn parse(&self, body: &[u8]) -> Result<Value, CmdError> {
+        serde_json::from_slice(body).map_err(|_| self.malformed("an answer that is not JSON"))
+    }
+
+    fn malformed(&self, reason: &str) -> CmdError {
+        let address = self.client.address().clone();
+        CmdError::Unreachable { source: HttpError::Malformed { address, reason: reason.into() } }
+    }
+}
--- /dev/null
+++ b/src/cmd/get.rs
@@ -0,0 +1,27 @@
+use pico_args::Arguments;
+use serde_json::json;
+
+use crate::cmd::{CmdError, Gateway, Options, no_more};
+
+pub(super) const USAGE: &str = "\
+usage: almondroad get [SECTION]
+
+Prints the document or one section. The version goes to the error output; give it to
+`almondroad put --base` to detect edits of others.
+";
+
+pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
+    let section: Option<String> = arguments.opt_free_from_str()?;
+    no_more(arguments)?;
+    let read = Gateway::of(options)?.get_text(section.as_deref()).await?;
+    if options.is_json {
+        println!("{}", json!({ "version": read.version, "text": read.text }));
+    } else {
+        print!("{}", read.text);
+        if !read.text.ends_with('\n') {
+            println!();
+        }
+        eprintln!("version {}", read.version);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/key.rs
@@ -0,0 +1,33 @@
+use hyper::Method;
+use pico_args::Arguments;
+
+use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, required};
+
+pub(super) const USAGE: &str = "\
+usage: almondroad key create ORGANISATION NAME
+       almondroad key withdraw ORGANISATION NAME
+
+create prints a new key once; the service keeps only its hash. withdraw makes a key invalid
+everywhere within 3 s.
+";
+
+pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
+    let action = required(&mut arguments, "create or withdraw")?;
+    let organisation = required(&mut arguments, "ORGANISATION")?;
+    let name = required(&mut arguments, "NAME")?;
+    no_more(arguments)?;
+    let path = format!("organisations/{organisation}/keys/{name}");
+    let is_new = match action.as_str() {
+        "create" => true,
+        "withdraw" => false,
+        _ => return Err(CmdError::usage(format!("expected create or withdraw, not {action}"))),
+    };
+    let method = if is_new { Method::POST } else { Method::DELETE };
+    let answer = Gateway::of(options)?.edit(method, &path).await?;
+    print_version(&answer, options);
+    if is_new && !options.is_json {
+        println!("{}", answer["key"].as_str().unwrap_or_default());
+        eprintln!("This key is not shown again.");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/zone.rs
@@ -0,0 +1,24 @@
+use hyper::Method;
+use pico_args::Arguments;
+
+use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, required};
+
+pub(super) const USAGE: &str = "\
+usage: almondroad zone out ZONE
+       almondroad zone in ZONE
+
+out stops new work in an availability zone within 3 s; requests that run there are finished.
+in returns the zone to service.
+";
+
+pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
+    let action = required(&mut arguments, "in or out")?;
+    let zone = required(&mut arguments, "ZONE")?;
+    no_more(arguments)?;
+    if !["in", "out"].contains(&action.as_str()) {
+        return Err(CmdError::usage(format!("expected in or out, not {action}")));
+    }
+    let path = format!("zones/{zone}/{action}");
+    print_version(&Gateway::of(options)?.edit(Method::POST, &path).await?, options);
+    Ok(())
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration document: contents, checks, edits, versions, keys, propagation.
 
-//mod admin;
+mod admin;
+mod admin_error;
 mod catch_up;
 mod change;
 mod change_row;
@@ -31,7 +32,7 @@
 mod role;
 mod route;
 mod service_state;
-//mod small_edit;
+mod small_edit;
 mod snapshot;
 mod splice;
 mod target;
@@ -39,7 +40,7 @@
 mod witness;
 mod zone;
 
-//pub use admin::Admin;
+pub use admin::Admin;
 pub use change::Change;
 pub use change_row::ChangeRow;
 pub use check::check_document;
@@ -63,7 +64,7 @@
 pub use role::Role;
 pub use route::Route;
 pub use service_state::ServiceState;
-//pub use small_edit::SmallEdit;
+pub use small_edit::SmallEdit;
 pub use snapshot::Snapshot;
 pub use splice::Splice;
 pub use target::Target;
--- /dev/null
+++ b/src/config/small_edit.rs
@@ -0,0 +1,118 @@
+use jsonc_parser::ParseOptions;
+use jsonc_parser::cst::{CstInputValue, CstObject, CstRootNode};
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::clock::Clock;
+use crate::config::{ConfigError, ConfigWitnesses, Configuration, DocumentText, ServiceState};
+use crate::jsonc::JsoncError;
+use crate::platform::{Objects, Table};
+use crate::units::{EndpointId, KeyHash, OrganisationId, Version, ZoneId};
+
+/// Times that a small edit is made again on a newer version after a conflict.
+const ATTEMPTS: u32 = 5;
+
+/// An edit of one entry that keeps the section's comments and layout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SmallEdit {
+    AddKey { organisation: OrganisationId, name: SmolStr, sha256: KeyHash },
+    WithdrawKey { organisation: OrganisationId, name: SmolStr },
+    SetZone { zone: ZoneId, state: ServiceState },
+    SetEndpoint { endpoint: EndpointId, state: ServiceState },
+}
+
+impl SmallEdit {
+    pub fn section(&self) -> &'static str {
+        match self {
+            SmallEdit::AddKey { .. } | SmallEdit::WithdrawKey { .. } => "organisations",
+            SmallEdit::SetZone { .. } => "zones",
+            SmallEdit::SetEndpoint { .. } => "endpoints",
+        }
+    }
+
+    /// The section's text after the edit.
+    pub fn apply(&self, text: &DocumentText) -> Result<String, ConfigError> {
+        let root = CstRootNode::parse(text.as_str(), &ParseOptions::default())
+            .map_err(|e| JsoncError::at_offset(text.as_str(), e.range().start, e.to_string()))
+            .map_err(ConfigError::invalid)?;
+        let section = root
+            .object_value()
+            .and_then(|document| document.object_value(self.section()))
+            .ok_or_else(|| ConfigError::UnknownSection { section: self.section().into() })?;
+        match self {
+            SmallEdit::AddKey { organisation, name, sha256 } => {
+                let entry = entry(&section, "organisation", organisation.as_str())?;
+                add_key(&entry, organisation, name, sha256)?;
+            }
+            SmallEdit::WithdrawKey { organisation, name } => {
+                let entry = entry(&section, "organisation", organisation.as_str())?;
+                let key = entry.object_value("keys").and_then(|keys| keys.get(name));
+                key.ok_or_else(|| unknown("key", name))?.remove();
+            }
+            SmallEdit::SetZone { zone, state } => {
+                set_state(&entry(&section, "zone", zone.as_str())?, *state);
+            }
+            SmallEdit::SetEndpoint { endpoint, state } => {
+                set_state(&entry(&section, "endpoint", endpoint.as_str())?, *state);
+            }
+        }
+        let edited = DocumentText::parse(&root.to_string()).map_err(ConfigError::invalid)?;
+        Ok(edited.section(self.section()).unwrap_or_default().to_owned())
+    }
+}
+
+fn unknown(kind: &'static str, name: &str) -> ConfigError {
+    ConfigError::UnknownEntry { kind, name: name.into() }
+}
+
+fn entry(section: &CstObject, kind: &'static str, name: &str) -> Result<CstObject, ConfigError> {
+    section.object_value(name).ok_or_else(|| unknown(kind, name))
+}
+
+fn add_key(
+    entry: &CstObject,
+    organisation: &OrganisationId,
+    name: &SmolStr,
+    sha256: &KeyHash,
+) -> Result<(), ConfigError> {
+    let keys = entry.object_value_or_set("keys");
+    if keys.get(name).is_some() {
+        let organisation = organisation.to_smolstr();
+        return Err(ConfigError::KeyExists { organisation, name: name.clone() });
+    }
+    let hash = CstInputValue::String(sha256.to_string());
+    keys.append(name, CstInputValue::Object(vec![("sha256".into(), hash)]));
+    Ok(())
+}
+
+fn set_state(entry: &CstObject, state: ServiceState) {
+    let value = CstInputValue::String(state.to_string());
+    match entry.get("state") {
+        Some(member) => member.set_value(value),
+        None => {
+            entry.append("state", value);
+        }
+    }
+}
+
+impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
+    /// Makes a small edit on the newest version. It does not depend on the rest of the section,
+    /// so a conflict is resolved by making it again.
+    pub async fn make_small_edit(
+        &self,
+        credential: &str,
+        edit: &SmallEdit,
+    ) -> Result<Version, ConfigError> {
+        let mut outcome = Err(ConfigError::NoDocument);
+        for _ in 0..ATTEMPTS {
+            self.newest_head().await?;
+            self.authorise(credential, Some(edit.section()))?;
+            let in_force = self.current();
+            let text = edit.apply(&in_force.text)?;
+            outcome = self.edit(credential, edit.section(), in_force.version, &text).await;
+            if !matches!(outcome, Err(ConfigError::Conflict { .. })) {
+                break;
+            }
+        }
+        outcome
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod clock;
+pub mod cmd;
 pub mod config;
 pub mod engine;
 pub mod hash;
