--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod budget;
 pub mod clock;
+pub mod cmd;
 pub mod config;
 pub mod engine;
 pub mod gateway;
