--- a/src/budget/allowance.rs
+++ b/src/budget/allowance.rs
@@ -1,19 +1,18 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use super::budget_error::BudgetError;
 use super::demand::Demand;
 use super::draw::{DrawAnswer, DrawRequest, Grant, Refund};
 use super::holder_time::HolderTime;
+use super::local_grants::{LocalGrant, LocalGrants};
+use super::organisation_pool::Waiter;
 use super::report::{Part, Report, ReportState};
 use crate::clock::Instant;
 use crate::units::{Incarnation, InstanceId, OrganisationId, Tokens};
 
 /// Tokens of one organisation at this instance, and the draws that replenish them.
 pub(super) struct Allowance {
-    grants: VecDeque<LocalGrant>,
-    /// Answer time of the last draw; tells whose grants a settlement refers to.
-    holder: Option<HolderTime>,
+    grants: LocalGrants,
     spent: Tokens,
     returned: Tokens,
     report: Rc<Report>,
@@ -32,24 +31,12 @@
     used_at: Instant,
 }
 
-struct LocalGrant {
-    granted_at: HolderTime,
-    deadline: Instant,
-    left: Tokens,
-}
-
 /// A draw that is repeated unchanged until it is answered.
 struct SentDraw {
     request: DrawRequest,
     report: Rc<Report>,
 }
 
-/// A request that waits for tokens.
-pub(super) struct Waiter {
-    pub tokens: Tokens,
-    pub answer: tokio::sync::oneshot::Sender<Result<super::charge::Charge, BudgetError>>,
-}
-
 /// What the organisation's task does next.
 pub(super) enum Step {
     /// Send the draw, or repeat the one that was not answered.
@@ -66,8 +53,6 @@
     /// Spent tokens are reported after this time at the latest, since the bucket does not refill
     /// while they count as outstanding.
     const REPORT_MS: u64 = 200;
-    /// Grants with less time left are given back with the next draw.
-    const RETURN_MS: u64 = 1_000;
     /// Grants with less time left cause a draw that gives them back.
     const LAST_RETURN_MS: u64 = 700;
     const IDLE_MS: u64 = 5_000;
@@ -76,8 +61,7 @@
 
     pub fn new(sequence: u64, now: Instant) -> Allowance {
         Allowance {
-            grants: VecDeque::new(),
-            holder: None,
+            grants: LocalGrants::default(),
             spent: Tokens(0),
             returned: Tokens(0),
             report: Rc::default(),
@@ -113,54 +97,31 @@
 
     /// Whether the holder knows everything there is to settle.
     pub fn is_settled(&self) -> bool {
-        let unsettled = self.spent + self.returned + self.left();
+        let unsettled = self.spent + self.returned + self.grants.left();
         self.sent.is_none() && self.refunds.is_empty() && unsettled == Tokens(0)
     }
 
-    fn left(&self) -> Tokens {
-        self.grants.iter().map(|grant| grant.left).sum()
-    }
-
-    /// Whether the last answering holder has the grant in its books.
-    fn is_current(&self, granted_at: HolderTime) -> bool {
-        self.holder.is_some_and(|holder| holder.has_same_start(granted_at))
-    }
-
     fn expire(&mut self, now: Instant) {
-        while let Some(grant) = self.grants.pop_front_if(|grant| grant.deadline <= now) {
-            if self.is_current(grant.granted_at) {
-                self.returned += grant.left;
-            }
-        }
+        self.returned += self.grants.expire(now);
     }
 
     /// Spends `tokens` if there are enough, from the grants that end first.
     pub fn take(&mut self, tokens: Tokens, now: Instant) -> Option<Vec<Part>> {
         self.expire(now);
-        if self.left() < tokens {
-            return None;
-        }
-        let mut rest = tokens;
-        let mut parts = Vec::new();
-        for i in 0..self.grants.len() {
-            let is_current = self.is_current(self.grants[i].granted_at);
-            let grant = &mut self.grants[i];
-            let part = rest.min(grant.left);
-            if part == Tokens(0) {
-                continue;
-            }
-            grant.left -= part;
-            rest -= part;
-            let report = if is_current { self.report.clone() } else { Rc::default() };
-            if is_current {
-                self.spent += part;
-            } else {
-                report.set(ReportState::Void);
-            }
-            let (granted_at, deadline) = (grant.granted_at, grant.deadline);
-            parts.push(Part { granted_at, deadline, tokens: part, report });
+        let pieces = self.grants.take(tokens)?;
+        Some(pieces.into_iter().map(|piece| self.spend(piece)).collect())
+    }
+
+    fn spend(&mut self, piece: LocalGrant) -> Part {
+        let LocalGrant { granted_at, deadline, left: tokens } = piece;
+        let mut report = self.report.clone();
+        if self.grants.is_current(granted_at) {
+            self.spent += tokens;
+        } else {
+            report = Rc::default();
+            report.set(ReportState::Void);
         }
-        Some(parts)
+        Part { granted_at, deadline, tokens, report }
     }
 
     /// Gives back what a request did not use, from its newest grants first.
@@ -183,9 +144,8 @@
     /// Undoes a spending that the holder has not been told yet.
     fn put_back(&mut self, part: &Part) {
         self.spent -= part.tokens;
-        match self.grants.iter_mut().find(|grant| grant.granted_at == part.granted_at) {
-            Some(grant) => grant.left += part.tokens,
-            None => self.returned += part.tokens,
+        if !self.grants.put_back(part.granted_at, part.tokens) {
+            self.returned += part.tokens;
         }
     }
 
@@ -212,22 +172,17 @@
         let unreported = self.spent + self.returned > Tokens(0);
         let report = unreported.then(|| self.drawn_at.plus_ms(Allowance::REPORT_MS));
         let ahead = self.ahead(now);
-        let is_low = self.left().0 < ahead.0 / 2;
+        let is_low = self.grants.left().0 < ahead.0 / 2;
         let ahead = is_low.then_some(self.next_ahead_at);
-        let expiring = self.grants.iter().find(|grant| self.is_returnable(grant));
-        let expiring = expiring.map(|grant| {
-            if self.is_returning { now } else { before(grant.deadline, Allowance::LAST_RETURN_MS) }
+        let expiring = self.grants.first_returnable().map(|deadline| {
+            if self.is_returning { now } else { before(deadline, Allowance::LAST_RETURN_MS) }
         });
-        let expired = self.grants.front().map(|grant| grant.deadline);
+        let expired = self.grants.first_deadline();
         let idle = self.used_at.plus_ms(Allowance::IDLE_MS);
         let idle = (idle > now).then_some(idle);
         [waiting, refunds, report, ahead, expiring, expired, idle].into_iter().flatten().min()
     }
 
-    fn is_returnable(&self, grant: &LocalGrant) -> bool {
-        grant.left > Tokens(0) && self.is_current(grant.granted_at)
-    }
-
     fn ahead(&mut self, now: Instant) -> Tokens {
         if self.is_returning { Tokens(0) } else { self.demand.ahead(now) }
     }
@@ -243,10 +198,13 @@
         if let Some(sent) = &self.sent {
             return sent.request.clone();
         }
-        self.give_back(now);
+        // Tokens held by requests that wait in line are of no use here, and the holder may have to
+        // give them to the first in line elsewhere.
+        let returns_all = self.is_returning || !self.waiters.is_empty();
+        self.returned += self.grants.give_back(returns_all, now);
         let waiting: Tokens = self.waiters.iter().map(|waiter| waiter.tokens).sum();
         let first = self.waiters.front().map_or(Tokens(0), |waiter| waiter.tokens);
-        let need_tokens = first - self.left();
+        let need_tokens = first - self.grants.left();
         let wanted = waiting + self.ahead(now);
         self.sequence += 1;
         let request = DrawRequest {
@@ -254,7 +212,7 @@
             instance: instance.clone(),
             incarnation,
             need_tokens,
-            want_tokens: wanted - self.left() - need_tokens,
+            want_tokens: wanted - self.grants.left() - need_tokens,
             spent_tokens: std::mem::take(&mut self.spent),
             returned_tokens: std::mem::take(&mut self.returned),
             refunds: self.refunds.drain(..).filter_map(|part| refund_of(&part)).collect(),
@@ -266,20 +224,6 @@
         request
     }
 
-    /// Tokens held by requests that wait in line are of no use here, and the holder may have to
-    /// give them to the first in line elsewhere.
-    fn give_back(&mut self, now: Instant) {
-        let returns_all = self.is_returning || !self.waiters.is_empty();
-        let holder = self.holder;
-        for grant in &mut self.grants {
-            let is_current = holder.is_some_and(|at| at.has_same_start(grant.granted_at));
-            let ends_soon = grant.deadline.ms_since(now) < Allowance::RETURN_MS;
-            if is_current && (returns_all || ends_soon) {
-                self.returned += std::mem::take(&mut grant.left);
-            }
-        }
-    }
-
     pub fn note_failure(&mut self, now: Instant) {
         self.is_failing = true;
         self.next_draw_at = now.plus_ms(Allowance::RETRY_MS);
@@ -307,14 +251,15 @@
         }
         self.report.set(ReportState::Void);
         self.report = Rc::default();
-        (self.spent, self.returned, self.holder) = (Tokens(0), Tokens(0), None);
+        (self.spent, self.returned) = (Tokens(0), Tokens(0));
+        self.grants.set_holder(None);
     }
 
     fn apply_grant(&mut self, grant: &Grant, sent_at: Instant, now: Instant) {
         let at = HolderTime::from_wire(grant.granted_at);
         let asked = self.sent.as_ref().map(|sent| &sent.request);
         let asked = asked.map_or(Tokens(0), |request| request.need_tokens + request.want_tokens);
-        if self.is_current(at) {
+        if self.grants.is_current(at) {
             let acknowledged = ReportState::Acknowledged { at, received_at: now };
             if let Some(sent) = self.sent.take() {
                 sent.report.set(acknowledged);
@@ -322,7 +267,7 @@
         } else {
             self.void_settlement();
         }
-        self.holder = Some(at);
+        self.grants.set_holder(Some(at));
         self.retry_after_ms = grant.retry_after_ms;
         self.next_draw_at = now.plus_ms(grant.retry_after_ms.min(Allowance::POLL_MS));
         let is_short = grant.tokens < asked;
@@ -334,7 +279,7 @@
             return;
         }
         if deadline > now {
-            self.grants.push_back(LocalGrant { granted_at: at, deadline, left });
+            self.grants.add(LocalGrant { granted_at: at, deadline, left });
         } else {
             self.returned += left;
         }
--- a/src/budget/allowances.rs
+++ b/src/budget/allowances.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use log::debug;
+use metrics::counter;
 use tokio::time::timeout;
 
 use super::allowance::{Allowance, Step};
@@ -74,11 +75,13 @@
         if let Some(charge) = pool.spend(tokens, now) {
             return Ok(charge);
         }
+        counter!("budget_charges_that_waited").increment(1);
         let receiver = pool.wait(tokens);
         if let Ok(Ok(result)) = timeout(deadline.remaining(now), receiver).await {
             return result;
         }
         pool.serve(self.inner.clock.now());
+        counter!("budget_charges_refused").increment(1);
         Err(pool.refusal())
     }
 
--- /dev/null
+++ b/src/budget/local_grants.rs
@@ -0,0 +1,107 @@
+use std::collections::VecDeque;
+
+use super::holder_time::HolderTime;
+use crate::clock::Instant;
+use crate::units::Tokens;
+
+/// Grants that this instance may still spend, those that end first at the front.
+#[derive(Default)]
+pub(super) struct LocalGrants {
+    grants: VecDeque<LocalGrant>,
+    /// Answer time of the last draw; tells whose grants a settlement refers to.
+    holder: Option<HolderTime>,
+}
+
+#[derive(Clone, Copy)]
+pub(super) struct LocalGrant {
+    pub granted_at: HolderTime,
+    pub deadline: Instant,
+    pub left: Tokens,
+}
+
+impl LocalGrants {
+    /// Grants with less time left are given back with the next draw.
+    const RETURN_MS: u64 = 1_000;
+
+    pub fn left(&self) -> Tokens {
+        self.grants.iter().map(|grant| grant.left).sum()
+    }
+
+    pub fn add(&mut self, grant: LocalGrant) {
+        self.grants.push_back(grant);
+    }
+
+    pub fn set_holder(&mut self, at: Option<HolderTime>) {
+        self.holder = at;
+    }
+
+    /// Whether the last answering holder has the grant in its books.
+    pub fn is_current(&self, granted_at: HolderTime) -> bool {
+        self.holder.is_some_and(|holder| holder.has_same_start(granted_at))
+    }
+
+    /// Drops grants that have ended. Returns what the holder must be told is unspent.
+    pub fn expire(&mut self, now: Instant) -> Tokens {
+        let mut unspent = Tokens(0);
+        while let Some(grant) = self.grants.pop_front_if(|grant| grant.deadline <= now) {
+            if self.is_current(grant.granted_at) {
+                unspent += grant.left;
+            }
+        }
+        unspent
+    }
+
+    /// Takes `tokens` if there are enough. Each piece carries its tokens in `left`.
+    pub fn take(&mut self, tokens: Tokens) -> Option<Vec<LocalGrant>> {
+        if self.left() < tokens {
+            return None;
+        }
+        let mut rest = tokens;
+        let mut pieces = Vec::new();
+        for grant in self.grants.iter_mut().filter(|grant| grant.left > Tokens(0)) {
+            let left = rest.min(grant.left);
+            if left == Tokens(0) {
+                break;
+            }
+            grant.left -= left;
+            rest -= left;
+            pieces.push(LocalGrant { left, ..*grant });
+        }
+        Some(pieces)
+    }
+
+    /// Whether the grant is still here and has taken the tokens back.
+    pub fn put_back(&mut self, granted_at: HolderTime, tokens: Tokens) -> bool {
+        let grant = self.grants.iter_mut().find(|grant| grant.granted_at == granted_at);
+        grant.map(|grant| grant.left += tokens).is_some()
+    }
+
+    /// Removes tokens to return to the holder: all, or those of grants that end soon.
+    pub fn give_back(&mut self, returns_all: bool, now: Instant) -> Tokens {
+        let holder = self.holder;
+        let mut returned = Tokens(0);
+        for grant in &mut self.grants {
+            let is_current = holder.is_some_and(|at| at.has_same_start(grant.granted_at));
+            let ends_soon = grant.deadline.ms_since(now) < LocalGrants::RETURN_MS;
+            if is_current && (returns_all || ends_soon) {
+                returned += std::mem::take(&mut grant.left);
+            }
+        }
+        returned
+    }
+
+    pub fn first_deadline(&self) -> Option<Instant> {
+        self.grants.front().map(|grant| grant.deadline)
+    }
+
+    /// Deadline of the first grant that has tokens to return.
+    pub fn first_returnable(&self) -> Option<Instant> {
+        let is_returnable =
+            |grant: &&LocalGrant| grant.left > Tokens(0) && self.is_current(grant.granted_at);
+        self.grants.iter().find(is_returnable).map(|grant| grant.deadline)
+    }
+
+    pub fn clear(&mut self) {
+        self.grants.clear();
+    }
+}
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -12,6 +12,7 @@
 mod headroom;
 mod holder_time;
 mod limits;
+mod local_grants;
 mod organisation_pool;
 mod outstanding;
 mod report;
--- a/src/budget/organisation_pool.rs
+++ b/src/budget/organisation_pool.rs
@@ -5,13 +5,19 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use super::allowance::{Allowance, Waiter};
+use super::allowance::Allowance;
 use super::budget_error::BudgetError;
 use super::charge::Charge;
 use super::report::Part;
 use crate::clock::Instant;
 use crate::units::{OrganisationId, Tokens};
 
+/// A request that waits for tokens.
+pub(super) struct Waiter {
+    pub tokens: Tokens,
+    pub answer: oneshot::Sender<Result<Charge, BudgetError>>,
+}
+
 /// An organisation's allowance with the signal for the task that draws for it.
 pub(super) struct OrganisationPool {
     pub organisation: OrganisationId,
--- /dev/null
+++ b/tests/budget_protocol.rs
@@ -0,0 +1,252 @@
+//! Draws message by message: one owner with scripted instances, one instance with a scripted owner.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use almondroad::budget::{
+    Allowances, BudgetError, Budgets, DrawAnswer, DrawCalls, DrawError, DrawRequest, Grant, Refund,
+};
+use almondroad::clock::{Clock, Instant, TokioClock};
+use almondroad::config::Rate;
+use almondroad::units::{
+    Fencing, Incarnation, InstanceId, OrganisationId, ShardId, Tokens, TokensPerSecond,
+};
+use tokio::task::LocalSet;
+use tokio::time::{advance, sleep};
+
+const SHARD: ShardId = ShardId::Budget(0);
+const HOLDER_RANGE_MS: u64 = 1 << 40;
+
+fn organisation() -> OrganisationId {
+    OrganisationId::new("gobabis")
+}
+
+fn owner(clock: TokioClock, per_s: u64, burst: u64) -> Budgets<TokioClock> {
+    let rate = Rate { rate_tokens_per_s: TokensPerSecond(per_s), burst_tokens: Tokens(burst) };
+    let budgets = Budgets::new(clock, 1);
+    budgets.set_rates(&BTreeMap::from([(organisation(), rate)]));
+    budgets
+}
+
+/// An owner whose bucket is full.
+async fn full_owner(per_s: u64, burst: u64) -> Budgets<TokioClock> {
+    let clock = TokioClock::new();
+    let budgets = owner(clock, per_s, burst);
+    budgets.gain(&SHARD, Fencing(1), clock.now());
+    advance(Duration::from_secs(2_000)).await;
+    budgets
+}
+
+fn draw(instance: &str, sequence: u64, need: u64, spent: u64) -> DrawRequest {
+    DrawRequest {
+        organisation: organisation(),
+        instance: InstanceId::new(instance),
+        incarnation: Incarnation(1),
+        need_tokens: Tokens(need),
+        want_tokens: Tokens(0),
+        spent_tokens: Tokens(spent),
+        returned_tokens: Tokens(0),
+        refunds: Vec::new(),
+        sequence,
+    }
+}
+
+fn granted(budgets: &Budgets<TokioClock>, request: &DrawRequest) -> Grant {
+    match budgets.draw(request, Instant::from_ms(u64::MAX)) {
+        DrawAnswer::Granted(grant) => grant,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a new owner that grants while grants of the old one may still be spent.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_waits_for_old_grants() {
+    let clock = TokioClock::new();
+    let budgets = owner(clock, 1_000, 1_000);
+    budgets.gain(&SHARD, Fencing(2), clock.now());
+    advance(Duration::from_millis(2_500)).await;
+    assert_eq!(granted(&budgets, &draw("a", 1, 1, 0)).tokens, Tokens(0));
+    advance(Duration::from_millis(100)).await;
+    assert_eq!(granted(&budgets, &draw("a", 2, 101, 0)).tokens, Tokens(0));
+    assert_eq!(granted(&budgets, &draw("a", 3, 100, 0)).tokens, Tokens(100));
+}
+
+/// Guards against an owner that answers when its lease has ended, and against a repeated or late
+/// draw that is granted again or for a time that starts again.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_draw_gets_the_same_tokens() {
+    let budgets = full_owner(1, 100).await;
+    let first = granted(&budgets, &draw("a", 1, 60, 0));
+    advance(Duration::from_millis(300)).await;
+    let again = granted(&budgets, &draw("a", 1, 60, 0));
+    assert_eq!(again, Grant { time_to_live_ms: first.time_to_live_ms - 300, ..first });
+    assert_eq!(granted(&budgets, &draw("b", 1, 40, 0)).tokens, Tokens(40));
+    granted(&budgets, &draw("a", 2, 0, 0));
+    assert_eq!(granted(&budgets, &draw("a", 1, 60, 0)).tokens, Tokens(0));
+    let ended = Instant::from_ms(0);
+    assert_eq!(budgets.draw(&draw("a", 3, 0, 0), ended), DrawAnswer::NotHolder(None));
+}
+
+/// Guards against reports of tokens of expired grants, or out of sequence, that free live ones.
+#[tokio::test(start_paused = true)]
+async fn only_reports_of_live_grants_make_room() {
+    for (sequence, advance_ms) in [(3, 2_600), (9, 0)] {
+        let budgets = full_owner(1_000, 100).await;
+        granted(&budgets, &draw("a", 1, if advance_ms > 0 { 100 } else { 0 }, 0));
+        advance(Duration::from_millis(advance_ms)).await;
+        assert_eq!(granted(&budgets, &draw("a", 2, 100, 0)).tokens, Tokens(100));
+        granted(&budgets, &draw("a", sequence, 0, 100));
+        advance(Duration::from_millis(500)).await;
+        assert_eq!(granted(&budgets, &draw("b", 1, 1, 0)).tokens, Tokens(0));
+    }
+}
+
+/// Guards against refunds that name another holder's time or that are counted twice.
+#[tokio::test(start_paused = true)]
+async fn a_refund_counts_once_and_only_for_grants_of_this_holder() {
+    let budgets = full_owner(1, 1_000).await;
+    granted(&budgets, &draw("a", 1, 1_000, 0));
+    let at = granted(&budgets, &draw("a", 2, 0, 1_000)).granted_at;
+    advance(Duration::from_millis(10)).await;
+    let refund = |sequence, granted_at| DrawRequest {
+        refunds: vec![Refund { granted_at, tokens: Tokens(500) }],
+        ..draw("a", sequence, 500, 0)
+    };
+    let other = [at.as_ms() - HOLDER_RANGE_MS, at.as_ms() + HOLDER_RANGE_MS];
+    for (sequence, at_ms) in (3..).zip(other) {
+        let answer = granted(&budgets, &refund(sequence, Instant::from_ms(at_ms)));
+        assert_eq!(answer.tokens, Tokens(0));
+    }
+    assert_eq!(granted(&budgets, &refund(5, at)).tokens, Tokens(500));
+    assert_eq!(granted(&budgets, &refund(5, at)).tokens, Tokens(500));
+    assert_eq!(granted(&budgets, &draw("a", 6, 1, 500)).tokens, Tokens(0));
+}
+
+/// Guards against tokens of a handed-over state that are granted twice: by the old holder, or by a
+/// later holder that has kept a copy.
+#[tokio::test(start_paused = true)]
+async fn a_handed_over_state_counts_only_for_the_direct_successor() {
+    let old = full_owner(1, 1_000).await;
+    granted(&old, &draw("a", 1, 400, 0));
+    let state = old.export(&SHARD).expect("a held shard");
+    old.gain(&SHARD, Fencing(1), Instant::from_ms(0));
+    let unlimited = Instant::from_ms(u64::MAX);
+    assert_eq!(old.draw(&draw("a", 2, 1, 0), unlimited), DrawAnswer::NotHolder(None));
+    for (fencing, tokens) in [(2, 600), (3, 0)] {
+        let clock = TokioClock::new();
+        let next = owner(clock, 1, 1_000);
+        next.import(&SHARD, &state).expect("an exported state");
+        next.gain(&SHARD, Fencing(fencing), clock.now());
+        assert_eq!(granted(&next, &draw("b", 1, 600, 0)).tokens, Tokens(tokens));
+        assert_eq!(granted(&next, &draw("c", 1, 100, 0)).tokens, Tokens(0));
+    }
+}
+
+struct ScriptedInstance(Allowances<TokioClock, Script>, TokioClock);
+
+/// Answers draws from a script of delays and answers, then fails.
+#[derive(Clone, Default)]
+struct Script {
+    answers: Rc<RefCell<VecDeque<(u64, Grant)>>>,
+    seen: Rc<RefCell<Vec<DrawRequest>>>,
+}
+
+impl Script {
+    fn answer(&self, delay_ms: u64, tokens: u64, fencing: u64, at_ms: u64) {
+        let grant = Grant {
+            tokens: Tokens(tokens),
+            granted_at: Instant::from_ms(fencing * HOLDER_RANGE_MS + at_ms),
+            time_to_live_ms: 2_000,
+            retry_after_ms: 0,
+        };
+        self.answers.borrow_mut().push_back((delay_ms, grant));
+    }
+
+    fn instance(&self) -> ScriptedInstance {
+        let clock = TokioClock::new();
+        let id = InstanceId::new("a");
+        ScriptedInstance(Allowances::new(clock, self.clone(), id, Incarnation(1)), clock)
+    }
+}
+
+impl DrawCalls for Script {
+    async fn draw(&self, request: &DrawRequest) -> Result<DrawAnswer, DrawError> {
+        self.seen.borrow_mut().push(request.clone());
+        let answer = self.answers.borrow_mut().pop_front();
+        let (delay_ms, grant) = answer.ok_or(DrawError::Unreachable)?;
+        sleep(Duration::from_millis(delay_ms)).await;
+        Ok(DrawAnswer::Granted(grant))
+    }
+}
+
+async fn spend(allowances: &ScriptedInstance, tokens: u64) -> Option<BudgetError> {
+    let deadline = allowances.1.now().plus_ms(450);
+    let charge = allowances.0.charge(&organisation(), Tokens(tokens), deadline).await;
+    charge.map(|charge| charge.settle(Tokens(tokens))).err()
+}
+
+/// Guards against tokens that are spent after the time counted from the sending of the draw.
+#[tokio::test(start_paused = true)]
+async fn a_grant_ends_by_the_time_its_draw_was_sent() {
+    let test = async {
+        let script = Script::default();
+        script.answer(400, 100, 1, 0);
+        let allowances = script.instance();
+        let clock = allowances.1;
+        let start = clock.now();
+        assert_eq!(spend(&allowances, 10).await, None);
+        sleep(start.plus_ms(1_990).remaining(clock.now())).await;
+        assert_eq!(spend(&allowances, 10).await, None);
+        sleep(Duration::from_millis(11)).await;
+        assert_eq!(spend(&allowances, 10).await, Some(BudgetError::Unreachable));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against spending of one holder's tokens that is reported to its successor.
+#[tokio::test(start_paused = true)]
+async fn spending_is_reported_only_to_the_holder_that_granted() {
+    let test = async {
+        let script = Script::default();
+        script.answer(1, 100, 1, 0);
+        script.answer(1, 0, 2, 0);
+        script.answer(1, 0, 2, 5);
+        let allowances = script.instance();
+        assert_eq!(spend(&allowances, 10).await, None);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(spend(&allowances, 20).await, None);
+        spend(&allowances, 500).await;
+        let seen = script.seen.borrow();
+        let reported: Vec<_> = seen.iter().map(|r| (r.spent_tokens, r.returned_tokens)).collect();
+        assert_eq!(reported[1..3], [(Tokens(10), Tokens(0)), (Tokens(0), Tokens(0))]);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a refund that names a time when the holder had written the grant off already.
+#[tokio::test(start_paused = true)]
+async fn a_refund_names_the_grant_if_its_spending_was_reported_late() {
+    for (outage_ms, named_ms) in [(0, 9_000), (3_000, 7)] {
+        let test = async {
+            let script = Script::default();
+            script.answer(1, 100, 1, 7);
+            let ScriptedInstance(allowances, clock) = script.instance();
+            let deadline = clock.now().plus_ms(450);
+            let charge = allowances.charge(&organisation(), Tokens(100), deadline).await;
+            let charge = charge.expect("granted");
+            sleep(Duration::from_millis(outage_ms)).await;
+            script.answer(1, 0, 1, 9_000);
+            script.answer(1, 0, 1, 9_500);
+            sleep(Duration::from_millis(400)).await;
+            charge.settle(Tokens(40));
+            sleep(Duration::from_millis(50)).await;
+            let granted_at = Instant::from_ms(HOLDER_RANGE_MS + named_ms);
+            let seen = script.seen.borrow();
+            let refunds: Vec<_> = seen.iter().flat_map(|r| r.refunds.first()).take(1).collect();
+            assert_eq!(refunds, [&Refund { granted_at, tokens: Tokens(60) }]);
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
