Test the lease check of draws before and after the answer

Cause: with either check removed in a scratch copy, all tests passed.

Change: a draw after the lease's end must leave the bucket as it was, and one that outlasts the lease must not be granted.

Tests: 9 tests of budget_protocol pass; each new check fails when its lease check is removed.

Conclusion: both checks are covered.

--- a/tests/budget_protocol.rs
+++ b/tests/budget_protocol.rs
@@ -1,6 +1,6 @@
 //! Draws message by message: one owner with scripted instances, one instance with a scripted owner.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +23,7 @@
     OrganisationId::new("gobabis")
 }
 
-fn owner(clock: TokioClock, per_s: u64, burst: u64) -> Budgets<TokioClock> {
+fn owner<C: Clock>(clock: C, per_s: u64, burst: u64) -> Budgets<C> {
     let rate = Rate { rate_tokens_per_s: TokensPerSecond(per_s), burst_tokens: Tokens(burst) };
     let budgets = Budgets::new(clock, 1);
     budgets.set_rates(&BTreeMap::from([(organisation(), rate)]));
@@ -73,11 +73,32 @@
     assert_eq!(granted(&budgets, &draw("a", 3, 100, 0)).tokens, Tokens(100));
 }
 
-/// Guards against an owner that answers when its lease has ended, and against a repeated or late
+/// Shows a later time at each reading, as after a pause of the process.
+#[derive(Clone)]
+struct PausingClock(Rc<Cell<u64>>);
+
+impl Clock for PausingClock {
+    fn now(&self) -> Instant {
+        Instant::from_ms(self.0.replace(self.0.get() + 10_000))
+    }
+}
+
+/// Guards against an owner that was paused while it answered and answers after its lease.
+#[test]
+fn a_draw_that_outlasts_the_lease_is_not_granted() {
+    let budgets = owner(PausingClock(Rc::default()), 1_000, 100);
+    budgets.gain(&SHARD, Fencing(1), Instant::from_ms(0));
+    let answer = budgets.draw(&draw("a", 1, 50, 0), Instant::from_ms(25_000));
+    assert_eq!(answer, DrawAnswer::NotHolder(None));
+}
+
+/// Guards against an owner that acts when its lease has ended, and against a repeated or late
 /// draw that is granted again or for a time that starts again.
 #[tokio::test(start_paused = true)]
 async fn a_repeated_draw_gets_the_same_tokens() {
     let budgets = full_owner(1, 100).await;
+    let ended = Instant::from_ms(0);
+    assert_eq!(budgets.draw(&draw("c", 1, 100, 0), ended), DrawAnswer::NotHolder(None));
     let first = granted(&budgets, &draw("a", 1, 60, 0));
     advance(Duration::from_millis(300)).await;
     let again = granted(&budgets, &draw("a", 1, 60, 0));
@@ -85,8 +106,6 @@
     assert_eq!(granted(&budgets, &draw("b", 1, 40, 0)).tokens, Tokens(40));
     granted(&budgets, &draw("a", 2, 0, 0));
     assert_eq!(granted(&budgets, &draw("a", 1, 60, 0)).tokens, Tokens(0));
-    let ended = Instant::from_ms(0);
-    assert_eq!(budgets.draw(&draw("a", 3, 0, 0), ended), DrawAnswer::NotHolder(None));
 }
 
 /// Guards against reports of tokens of expired grants, or out of sequence, that free live ones.
