Blame crashed endpoints' requests at the pool's owner

Cause: a gateway knows only its own requests, so it could not tell whether another request was the suspect under which an endpoint died. Change: the owner notes all requests that ran on the endpoint at the first report of its death; progress reports carry the suspect flag; a member counts as gone only while the platform's list is current.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -164,6 +164,8 @@
   decode @4 :Text;
   pieces @5 :UInt64;
   remainingMs @6 :UInt64;
+  fingerprint @7 :UInt64;
+  suspect @8 :Bool;
 }
 
 # A configuration change: one splice in the document's text.
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -2,12 +2,14 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Method;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use serde::Serialize;
 use serde_json::{Value, json};
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::bench::fleet_document::{EndpointKind, KEY_MARKER, MODEL};
+use crate::bench::fleet_document::{BEARER_CREDENTIAL, EndpointKind, KEY_MARKER, MODEL};
 use crate::bench::{BenchError, Deployment, FleetDocument, PlacedEndpoint, Process, Programs};
 use crate::http::HttpClient;
 use crate::standin::{EngineRole, EngineSettings, PlainSettings, PlatformSettings};
@@ -316,8 +318,24 @@
     }
 
     pub async fn status(&self, gateway: &SmolStr) -> Result<Value, BenchError> {
+        let body = self.admin(gateway, Method::GET, "status", Bytes::new()).await?;
+        Ok(serde_json::from_slice(&body).unwrap_or_default())
+    }
+
+    /// Sends an operator's request, with the credential of the fleet's team.
+    pub async fn admin(
+        &self,
+        gateway: &SmolStr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, BenchError> {
         let client = HttpClient::new(gateway.clone());
-        Ok(client.call(Method::GET, "/admin/v1/status", &(), CALL_TIMEOUT).await?)
+        let mut request = client.request(method, &format!("/admin/v1/{path}"), body)?;
+        let credential = HeaderValue::from_static(BEARER_CREDENTIAL);
+        request.headers_mut().insert(AUTHORIZATION, credential);
+        let response = client.send(request, CALL_TIMEOUT).await?;
+        Ok(client.read_body(response).await?)
     }
 
     /// Waits until every gateway has the document in force, knows all others, and all shards
--- a/src/bench/fleet_document.rs
+++ b/src/bench/fleet_document.rs
@@ -9,6 +9,8 @@
 pub const MODEL: &str = "notes-8b";
 /// Credential of the team that owns all sections of a fleet's document.
 pub const CREDENTIAL: &str = "bench-team-credential";
+/// The credential as it is sent.
+pub const BEARER_CREDENTIAL: &str = "Bearer bench-team-credential";
 
 /// Key of an organisation in experiments. The prefix marks it, so that stand-ins can look for
 /// leaked keys.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -5,12 +5,14 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response};
 
-use crate::config::{Repeat, Route, Target};
+use crate::clock::BootClock;
+use crate::config::{Admin, Repeat, Route, Target};
 use crate::gateway::addresses::Addresses;
 use crate::gateway::status::Status;
-use crate::gateway::{GatewayMetrics, Node};
+use crate::gateway::{GatewayMetrics, Node, NodePeers};
 use crate::http::{Handler, ResponseBody};
 use crate::once::{IDEMPOTENCY_HEADER, PlainRequest, call_at_most_once, call_idempotent};
+use crate::platform::HttpPlatform;
 use crate::serve::{CallError, CallerKey, complete, error_response, json_response, read_body};
 use crate::units::OrganisationId;
 
@@ -19,11 +21,13 @@
 /// Answers callers and operators.
 pub struct GatewayHandler {
     node: Rc<Node>,
+    admin: Admin<HttpPlatform, HttpPlatform, BootClock, NodePeers>,
 }
 
 impl GatewayHandler {
     pub fn new(node: Rc<Node>) -> GatewayHandler {
-        GatewayHandler { node }
+        let admin = Admin::new(Rc::clone(&node.configuration));
+        GatewayHandler { node, admin }
     }
 
     async fn answer(
@@ -41,17 +45,10 @@
             }
             "/admin/v1/status" => {
                 only(&Method::GET, &request)?;
-                Ok(json_response(&Status::of(&self.node)))
-            }
-            _ if path.starts_with("/admin/") => {
-                let body_limit = self.node.settings.max_body_bytes;
-                let (head, body) = request.into_parts();
-                let body = read_body(Request::from_parts(head.clone(), body), body_limit).await?;
-                {
-                    let _ = (&head, &body);
-                    Err(CallError::UnknownRoute { path: path.into() })
-                }
+                let refusal = self.admin.refusal(request.headers());
+                Ok(refusal.unwrap_or_else(|| json_response(&Status::of(&self.node))))
             }
+            _ if path.starts_with("/admin/") => Ok(self.admin.handle(request).await),
             _ => self.route(request).await,
         }
     }
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -79,7 +79,7 @@
         finished: FinishedAttempt,
         fingerprint: Fingerprint,
     ) -> u32 {
-        self.pools.finish(&shard, finished);
+        self.finish_own_attempt(&shard, finished);
         self.suspects.crashes(fingerprint)
     }
 
@@ -118,6 +118,16 @@
 }
 
 impl Node {
+    /// Ends an attempt in a pool that this instance owns, and notes the requests that ran on an
+    /// endpoint that died.
+    pub fn finish_own_attempt(&self, shard: &ShardId, finished: FinishedAttempt) {
+        let ran = self.pools.finish(shard, finished);
+        if !ran.is_empty() {
+            log::warn!(target: "suspect", "an endpoint of {shard} died under {} requests", ran.len());
+            self.suspects.note_crash(&ran);
+        }
+    }
+
     /// The holder that a caller should ask instead of this instance.
     fn other_holder(&self, shard: &ShardId) -> Option<Holding> {
         let own = &self.settings.instance;
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -17,9 +17,9 @@
     pub requests_in_flight: u32,
     pub live_attempts: usize,
     pub instances: Vec<InstanceStatus>,
-    /// Shards that this instance holds, with their endpoints.
-    pub held: Vec<HeldStatus>,
     pub holders: Vec<HolderStatus>,
+    /// Endpoints of the pools that this instance holds.
+    pub endpoints: Vec<PoolEndpoint>,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -35,10 +35,10 @@
 }
 
 #[derive(Clone, Debug, Serialize)]
-pub struct HeldStatus {
+pub struct PoolEndpoint {
     pub shard: ShardId,
-    pub fencing: u64,
-    pub endpoints: Vec<EndpointStatus>,
+    #[serde(flatten)]
+    pub status: EndpointStatus,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -56,10 +56,9 @@
         members.push(own.clone());
         members.sort_by(|a, b| a.instance.cmp(&b.instance));
         let shards = crate::gateway::ownership::shards_of(&node.configuration.current().document);
-        let held = shards.iter().filter_map(|shard| {
-            let held = node.leases.held(shard)?;
-            let endpoints = node.pools.status(shard);
-            Some(HeldStatus { shard: shard.clone(), fencing: held.fencing.0, endpoints })
+        let endpoints = shards.iter().flat_map(|shard| {
+            let statuses = node.pools.status(shard).into_iter();
+            statuses.map(|status| PoolEndpoint { shard: shard.clone(), status })
         });
         let holders = shards.iter().filter_map(|shard| {
             let holding = node.leases.holding(shard)?;
@@ -81,7 +80,11 @@
             instances: members
                 .into_iter()
                 .map(|member| InstanceStatus {
-                    version: node.versions.of(&member.instance),
+                    version: if member.instance == own.instance {
+                        Some(confirmation.version)
+                    } else {
+                        node.versions.of(&member.instance)
+                    },
                     instance: member.instance,
                     zone: member.zone,
                     http_address: member.http_address,
@@ -89,8 +92,8 @@
                     load_permille: member.load_permille,
                 })
                 .collect(),
-            held: held.collect(),
             holders: holders.collect(),
+            endpoints: endpoints.collect(),
         }
     }
 }
--- a/src/peer/decode.rs
+++ b/src/peer/decode.rs
@@ -218,6 +218,8 @@
             decode: parse(from.get_decode())?,
             pieces: Pieces(from.get_pieces()),
             remaining_ms: from.get_remaining_ms(),
+            fingerprint: Fingerprint(from.get_fingerprint()),
+            is_suspect: from.get_suspect(),
         })
     };
     from.iter().map(progress).collect()
--- a/src/peer/encode.rs
+++ b/src/peer/encode.rs
@@ -204,6 +204,8 @@
         item.set_decode(progress.decode.as_str());
         item.set_pieces(progress.pieces.0);
         item.set_remaining_ms(progress.remaining_ms);
+        item.set_fingerprint(progress.fingerprint.0);
+        item.set_suspect(progress.is_suspect);
     }
 }
 
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
 use crate::clock::{Clock, Instant};
@@ -11,8 +11,13 @@
 const DEAD_AFTER_MS: u64 = 5_000;
 /// Silence after which gossip about another incarnation of the member is believed.
 const SUSPECT_AFTER_MS: u64 = 3_000;
-/// A member that is neither heard nor listed for this long is forgotten.
-const FORGET_AFTER_MS: u64 = 60_000;
+/// Longest lag of the platform's list.
+const LIST_LAG_MS: u64 = 60_000;
+/// A read of the list counts as current for this long.
+const LIST_CURRENT_MS: u64 = 15_000;
+/// A member that is neither heard nor listed for this long is forgotten. Longer than the list's
+/// lag, since leases ask whether a named witness is gone.
+const FORGET_AFTER_MS: u64 = 3_600_000;
 /// Fleets up to this size are fully meshed.
 const FULL_MESH_MEMBERS: usize = 9;
 /// Neighbours chosen by rendezvous order, and as many at random, in larger fleets.
@@ -23,6 +28,7 @@
     clock: C,
     own: RefCell<Member>,
     known: RefCell<BTreeMap<InstanceId, Known>>,
+    list_read_at: Cell<Option<Instant>>,
     gossip_cursor: RefCell<usize>,
 }
 
@@ -31,8 +37,10 @@
     member: Member,
     /// When the member's heartbeat counter last grew. `None` until its first heartbeat.
     heard_at: Option<Instant>,
-    /// When the platform's list last showed this incarnation.
-    listed_at: Instant,
+    /// Whether the platform's list has shown this incarnation.
+    was_listed: bool,
+    /// First of the successful reads in a row that did not show this incarnation.
+    unlisted_since: Option<Instant>,
 }
 
 impl<C: Clock> Membership<C> {
@@ -41,6 +49,7 @@
             clock,
             own: RefCell::new(own),
             known: RefCell::default(),
+            list_read_at: Cell::default(),
             gossip_cursor: RefCell::new(0),
         }
     }
@@ -84,19 +93,21 @@
         self.known.borrow().get(instance).map(|known| known.member.clone())
     }
 
-    /// Whether this incarnation is neither listed nor heard for as long as the list may lag.
+    /// Whether this incarnation has certainly ended: the instance runs under another incarnation,
+    /// or the platform's list has not shown it for as long as the list may lag. While the list
+    /// cannot be read, an instance that is silent may only be cut off.
     pub fn is_gone(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
         let now = self.clock.now();
-        match self.known.borrow().get(instance) {
-            None => false,
-            Some(known) if known.member.incarnation != incarnation => {
-                known.heard_at.is_some_and(|heard| now.ms_since(heard) < DEAD_AFTER_MS)
-            }
-            Some(known) => {
-                now.ms_since(known.listed_at) >= FORGET_AFTER_MS
-                    && !known.heard_within(now, FORGET_AFTER_MS)
-            }
+        let all = self.known.borrow();
+        let Some(known) = all.get(instance) else { return false };
+        if known.member.incarnation != incarnation {
+            return known.heard_within(now, DEAD_AFTER_MS) || known.was_listed;
         }
+        let read_at = self.list_read_at.get();
+        let is_list_current = read_at.is_some_and(|at| now.ms_since(at) < LIST_CURRENT_MS);
+        let is_unlisted =
+            known.unlisted_since.is_some_and(|since| now.ms_since(since) >= LIST_LAG_MS);
+        known.was_listed && is_list_current && is_unlisted && !known.heard_within(now, LIST_LAG_MS)
     }
 
     /// Takes in a heartbeat that its sender sent directly.
@@ -115,10 +126,7 @@
         let mut all = self.known.borrow_mut();
         let Some(known) = all.get_mut(&member.instance) else {
             let heard_at = Some(now);
-            all.insert(
-                member.instance.clone(),
-                Known { member: member.clone(), heard_at, listed_at: now },
-            );
+            all.insert(member.instance.clone(), Known::heard(member, heard_at));
             return;
         };
         if known.member.incarnation == member.incarnation {
@@ -127,38 +135,54 @@
                 known.heard_at = Some(now);
             }
         } else if is_direct || !known.heard_within(now, SUSPECT_AFTER_MS) {
-            *known = Known { member: member.clone(), heard_at: Some(now), listed_at: now };
+            *known = Known::heard(member, Some(now));
         }
     }
 
     /// Takes in the platform's list, which may lag.
     pub fn read_list(&self, listed: &[ListedInstance]) {
         let now = self.clock.now();
+        self.list_read_at.set(Some(now));
         let own = self.own();
         let mut all = self.known.borrow_mut();
         for entry in listed.iter().filter(|entry| entry.instance != own.instance) {
             match all.get_mut(&entry.instance) {
                 Some(known) if known.member.incarnation == entry.incarnation => {
-                    known.listed_at = now;
+                    known.was_listed = true;
+                    known.unlisted_since = None;
                 }
-                Some(known) if known.heard_within(now, FORGET_AFTER_MS) => {}
+                // The list lags behind what the instance itself said.
+                Some(known) if known.heard_within(now, LIST_LAG_MS) => {}
                 _ => {
-                    let known = Known { member: from_list(entry), heard_at: None, listed_at: now };
-                    all.insert(entry.instance.clone(), known);
+                    all.insert(entry.instance.clone(), Known::listed(entry));
                 }
             }
         }
+        for known in all.values_mut() {
+            let is_listed = listed.iter().any(|entry| {
+                entry.instance == known.member.instance
+                    && entry.incarnation == known.member.incarnation
+            });
+            if !is_listed {
+                known.unlisted_since.get_or_insert(now);
+            }
+        }
         all.retain(|_, known| {
-            now.ms_since(known.listed_at) < FORGET_AFTER_MS
-                || known.heard_within(now, FORGET_AFTER_MS)
+            known.heard_within(now, FORGET_AFTER_MS)
+                || known.unlisted_since.is_none_or(|since| now.ms_since(since) < FORGET_AFTER_MS)
         });
     }
 
     /// Members to hold connections to: all in a small fleet, otherwise some that stay and some
     /// that change, so that the cost of control does not grow with the fleet.
     pub fn neighbours(&self) -> Vec<Member> {
+        let now = self.clock.now();
+        let all = self.known.borrow();
+        let is_reachable =
+            |known: &&Known| known.heard_within(now, LIST_LAG_MS) || known.unlisted_since.is_none();
         let mut members: Vec<Member> =
-            self.known.borrow().values().map(|known| known.member.clone()).collect();
+            all.values().filter(is_reachable).map(|known| known.member.clone()).collect();
+        drop(all);
         if members.len() < FULL_MESH_MEMBERS {
             return members;
         }
@@ -190,6 +214,14 @@
 }
 
 impl Known {
+    fn heard(member: &Member, heard_at: Option<Instant>) -> Known {
+        Known { member: member.clone(), heard_at, was_listed: false, unlisted_since: None }
+    }
+
+    fn listed(entry: &ListedInstance) -> Known {
+        Known { member: from_list(entry), heard_at: None, was_listed: true, unlisted_since: None }
+    }
+
     fn heard_within(&self, now: Instant, limit_ms: u64) -> bool {
         self.heard_at.is_some_and(|heard| now.ms_since(heard) < limit_ms)
     }
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -5376,11 +5376,19 @@
         pub fn get_remaining_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_suspect(self) -> bool {
+            self.reader.get_bool_field(256)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5518,6 +5526,22 @@
         pub fn set_remaining_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_fingerprint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_suspect(self) -> bool {
+            self.builder.get_bool_field(256)
+        }
+        #[inline]
+        pub fn set_suspect(&mut self, value: bool)  {
+            self.builder.set_bool_field(256, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5529,73 +5553,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 156] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(46, 212, 43, 66, 127, 163, 235, 210),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(23, 73, 226, 213, 160, 198, 241, 179),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 114, 111, 103, 114),
             ::capnp::word(101, 115, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5655,6 +5693,23 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5665,6 +5720,8 @@
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5678,9 +5735,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,2,1,5,3,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,7,2,1,5,3,6,8];
         pub(crate) const TYPE_ID: u64 = 0xd2eb_a37f_422b_d42e;
     }
 }
--- a/src/pool/admitting.rs
+++ b/src/pool/admitting.rs
@@ -161,6 +161,8 @@
         let part = memory.max(1.0 / f64::from(decode.entry.slots.max(1)));
         let reservation = Reservation {
             organisation: request.organisation.clone(),
+            fingerprint: request.fingerprint,
+            is_suspect: request.is_suspect,
             class: request.class,
             prefill: choice.prefill.clone(),
             decode: choice.decode.clone(),
--- a/src/pool/progress.rs
+++ b/src/pool/progress.rs
@@ -1,4 +1,4 @@
-use crate::units::{AttemptId, EndpointId, OrganisationId, Pieces, Tokens};
+use crate::units::{AttemptId, EndpointId, Fingerprint, OrganisationId, Pieces, Tokens};
 
 /// A live attempt, as its gateway reports it each second.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,4 +11,6 @@
     pub pieces: Pieces,
     /// Remaining time of the caller's deadline.
     pub remaining_ms: u64,
+    pub fingerprint: Fingerprint,
+    pub is_suspect: bool,
 }
--- a/src/pool/reconciliation.rs
+++ b/src/pool/reconciliation.rs
@@ -9,7 +9,7 @@
 use crate::pool::pool_state::PoolState;
 use crate::pool::reservation::Reservation;
 use crate::pool::{AttemptEnd, Class, FinishedAttempt, Progress};
-use crate::units::{AttemptId, EndpointId, OrganisationId, Pieces};
+use crate::units::{AttemptId, EndpointId, Fingerprint, OrganisationId, Pieces};
 
 impl PoolState {
     /// A gateway cancels its own attempt when it ends; the owner does so only after this.
@@ -20,8 +20,14 @@
     /// Running attempts are evidence of a warm endpoint for this long after a takeover.
     const REBUILD_MS: u64 = 2000;
 
-    pub fn finish(&mut self, finished: &FinishedAttempt, now: Instant) {
+    /// Ends an attempt. If it is the first to report the death of an endpoint, returns the
+    /// requests that ran there, each with whether it was a suspect.
+    pub fn finish(&mut self, finished: &FinishedAttempt, now: Instant) -> Vec<(Fingerprint, bool)> {
         let attempt = &finished.attempt;
+        let ran = match (&finished.endpoint, finished.end) {
+            (Some(endpoint), AttemptEnd::EndpointDied) => self.running_on(endpoint),
+            _ => Vec::new(),
+        };
         self.ended.insert(attempt.clone(), now);
         self.orphans.remove(attempt);
         let reservation = self.reservations.get(attempt).cloned();
@@ -33,18 +39,29 @@
             self.queues[reservation.class as usize].refund(&reservation.organisation, unused);
         }
         self.release(attempt);
-        let Some(id) = &finished.endpoint else { return };
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let Some(id) = &finished.endpoint else { return Vec::new() };
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return Vec::new() };
         match finished.end {
             AttemptEnd::Failed => endpoint.warm_up.note_failure(),
             AttemptEnd::EndpointDied => {
                 let admitted_at = reservation.map_or(now, |r| r.admitted_at);
                 if endpoint.note_death(admitted_at, now) {
                     self.prefixes.forget_endpoint(id);
+                    return ran;
                 }
             }
             AttemptEnd::Completed | AttemptEnd::Cancelled | AttemptEnd::PrefillWasted => {}
         }
+        Vec::new()
+    }
+
+    fn running_on(&self, endpoint: &EndpointId) -> Vec<(Fingerprint, bool)> {
+        let runs = |reservation: &&Reservation| {
+            reservation.decode == *endpoint
+                || (reservation.prefill == *endpoint && reservation.output_tokens.get() == 0)
+        };
+        let running = self.reservations.values().filter(runs);
+        running.map(|reservation| (reservation.fingerprint, reservation.is_suspect)).collect()
     }
 
     fn note_output(
@@ -121,7 +138,7 @@
         let takeover_ends = self.nothing_freed_before.plus_ms(PoolState::REBUILD_MS);
         if let Some(decode) = self.endpoints.get_mut(&progress.decode) {
             let pieces = progress.pieces.max(Pieces(1));
-            decode.occupancy.add(&progress.attempt, pieces, false);
+            decode.occupancy.add(&progress.attempt, pieces, progress.is_suspect);
             if now < takeover_ends && decode.health != Health::Down {
                 decode.warm_up.note_running(decode.occupancy.used_slots());
             }
@@ -134,6 +151,8 @@
         }
         let reservation = Reservation {
             organisation: progress.organisation.clone(),
+            fingerprint: progress.fingerprint,
+            is_suspect: progress.is_suspect,
             class: Class::default(),
             prefill: progress.prefill.clone(),
             decode: progress.decode.clone(),
--- a/src/pool/reservation.rs
+++ b/src/pool/reservation.rs
@@ -1,11 +1,13 @@
 use crate::clock::Instant;
 use crate::pool::Class;
-use crate::units::{EndpointId, OrganisationId, Tokens};
+use crate::units::{EndpointId, Fingerprint, OrganisationId, Tokens};
 
 /// An admitted attempt.
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
     pub organisation: OrganisationId,
+    pub fingerprint: Fingerprint,
+    pub is_suspect: bool,
     pub class: Class,
     pub prefill: EndpointId,
     pub decode: EndpointId,
--- a/src/route/finish.rs
+++ b/src/route/finish.rs
@@ -16,7 +16,7 @@
     fingerprint: Fingerprint,
 ) -> u32 {
     match find_holder(node, shard).await {
-        Ok(Holder::Own(_)) => node.pools.finish(shard, finished),
+        Ok(Holder::Own(_)) => node.finish_own_attempt(shard, finished),
         Ok(Holder::Peer(client, _)) => {
             match client.finish_attempt(shard, &finished, fingerprint).await {
                 Ok(0) => {}
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -88,6 +88,8 @@
             pieces: call.model_limits.pieces_for(total),
             output_tokens: Tokens(0),
             deadline: call.deadline,
+            fingerprint: call.fingerprint,
+            is_suspect: node.suspects.crashes(call.fingerprint) > 0,
         };
         node.live.insert(&id, live);
         let started_at = node.clock.now();
--- a/src/serve/live_attempts.rs
+++ b/src/serve/live_attempts.rs
@@ -3,7 +3,9 @@
 
 use crate::clock::{Clock, Instant};
 use crate::pool::{Plan, Progress};
-use crate::units::{AttemptId, Incarnation, InstanceId, OrganisationId, Pieces, ShardId, Tokens};
+use crate::units::{
+    AttemptId, Fingerprint, Incarnation, InstanceId, OrganisationId, Pieces, ShardId, Tokens,
+};
 
 /// The attempts that this instance runs, reported to the owners of their pools each second.
 #[derive(Debug)]
@@ -22,6 +24,8 @@
     pub pieces: Pieces,
     pub output_tokens: Tokens,
     pub deadline: Instant,
+    pub fingerprint: Fingerprint,
+    pub is_suspect: bool,
 }
 
 impl LiveAttempts {
@@ -76,6 +80,8 @@
                 decode: live.plan.decode.clone(),
                 pieces: live.pieces,
                 remaining_ms: live.deadline.ms_since(now),
+                fingerprint: live.fingerprint,
+                is_suspect: live.is_suspect,
             });
         }
         reports
--- a/tests/pool/fakes.rs
+++ b/tests/pool/fakes.rs
@@ -218,6 +218,8 @@
             decode: plan.decode.clone(),
             pieces: pieces(admission),
             remaining_ms: 60_000,
+            fingerprint: admission.fingerprint,
+            is_suspect: admission.is_suspect,
         };
         let attempts = attempts.iter().map(progress).collect();
         self.pools.report(&InstanceId::new(gateway), Incarnation(1), &shard(), attempts);
