Test that deadlines count from the sending of a write

Change: a table that answers writes late, and three focused tests. Conclusion: each way to learn of a write has a test of its deadline.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -205,7 +205,7 @@
         simulate(async {
             let world = settled(9, 5, budgets(1)).await;
             let old = world.holder(&ShardId::Budget(0)).unwrap();
-            world.table_fault(TableFault::Slow(0, 950), 2000 + offset_ms);
+            world.table_fault(TableFault::LateAnswers(950), 2000 + offset_ms);
             world.run_for(2000 + offset_ms).await;
             world.isolate_from_peers(old, MINUTE_MS);
             world.cut(Link::ToTable(old), MINUTE_MS);
@@ -276,6 +276,51 @@
     });
 }
 
+/// Guards against an acquisition found by its attempt id that counts from the reading of the row.
+#[test]
+fn acquisition_without_answer_counts_from_its_sending() {
+    for seed in 0..5 {
+        simulate(async {
+            let shard = ShardId::Budget(0);
+            let world = World::new(seed, 5, 0, vec![shard.clone()]);
+            (0..5).for_each(|i| world.start(i));
+            world.table_fault(TableFault::LateWrites(0), MINUTE_MS);
+            while world.holder(&shard).is_none() {
+                world.run_for(1).await;
+            }
+            let old = world.holder(&shard).unwrap();
+            world.isolate(old, MINUTE_MS);
+            world.table_fault(TableFault::Slow(0, 0), 0);
+            world.run_for(6000).await;
+            assert!(world.holder(&shard).is_some_and(|new| new != old));
+        });
+    }
+}
+
+/// Guards against a renewal found by its attempt id that counts from the reading of the row.
+#[test]
+fn renewal_without_answer_counts_from_its_sending() {
+    for seed in 0..5 {
+        simulate(async {
+            let shard = ShardId::Budget(0);
+            let world = settled(seed, 5, vec![shard.clone()]).await;
+            let old = world.holder(&shard).unwrap();
+            let deadline = || world.leases(old).unwrap().held(&shard).unwrap().deadline;
+            world.isolate_from_peers(old, MINUTE_MS);
+            world.table_fault(TableFault::LateWrites(0), MINUTE_MS);
+            world.run_for(10).await;
+            let before = deadline();
+            while deadline() == before {
+                world.run_for(1).await;
+            }
+            world.isolate(old, MINUTE_MS);
+            world.table_fault(TableFault::Slow(0, 0), 0);
+            world.run_for(6000).await;
+            assert!(world.holder(&shard).is_some_and(|new| new != old));
+        });
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Fault {
     Table(TableFault),
@@ -297,6 +342,7 @@
         Just(TableFault::LosesAnswers),
         (0..3000u64, 0..3000u64).prop_map(|(before, after)| TableFault::Slow(before, after)),
         (0..12_000u64).prop_map(TableFault::LateWrites),
+        (0..1500u64).prop_map(TableFault::LateAnswers),
     ];
     prop_oneof![
         4 => table.prop_map(Fault::Table),
--- a/tests/support/lease_sim.rs
+++ b/tests/support/lease_sim.rs
@@ -30,6 +30,8 @@
     Slow(u64, u64),
     /// Reads are served, writes take effect after the delay and are not answered.
     LateWrites(u64),
+    /// Reads are served, writes take effect and are answered after the delay.
+    LateAnswers(u64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -303,6 +305,7 @@
             Some(TableFault::Silent) => return std::future::pending().await,
             Some(TableFault::LosesAnswers) => (0, 0, false),
             Some(TableFault::Slow(before, after)) => (before, after, true),
+            Some(TableFault::LateAnswers(late)) if is_write => (0, late, true),
             Some(TableFault::LateWrites(late)) if is_write => (late, 0, false),
             _ => (0, 0, true),
         };
