--- a/src/lease/lease_row.rs
+++ b/src/lease/lease_row.rs
@@ -12,10 +12,12 @@
 }
 
 impl Witness {
+    /// The current run of a member.
     pub fn of(member: &Member) -> Witness {
         Witness { instance: member.instance.clone(), incarnation: member.incarnation }
     }
 
+    /// The question to this witness about a holding.
     pub fn claim(&self, holding: &Holding) -> LeaseClaim {
         LeaseClaim { holding: holding.clone(), witness_incarnation: self.incarnation }
     }
@@ -35,19 +37,23 @@
 }
 
 impl LeaseRow {
+    /// Key of the shard's row in the table.
     pub fn key(shard: &ShardId) -> String {
         format!("lease/{shard}")
     }
 
+    /// The row's value as JSON.
     pub fn encode(&self) -> String {
         // A struct of texts and integers always serialises.
         serde_json::to_string(self).unwrap_or_default()
     }
 
+    /// `None` if the text is no lease row.
     pub fn decode(text: &str) -> Option<LeaseRow> {
         serde_json::from_str(text).ok()
     }
 
+    /// The holder that the row names.
     pub fn holding(&self, shard: &ShardId) -> Holding {
         Holding {
             shard: shard.clone(),
@@ -57,6 +63,7 @@
         }
     }
 
+    /// Whether the row names this run of the member.
     pub fn is_held_by(&self, member: &Member) -> bool {
         self.holder == member.instance && self.incarnation == member.incarnation
     }
--- a/src/lease/leases_builder.rs
+++ b/src/lease/leases_builder.rs
@@ -27,6 +27,7 @@
 }
 
 impl<T: Table, W: Witnesses, C: Clock> LeasesBuilder<T, W, C> {
+    /// The defaults of the design: TTL 3 s, renewal each second, a poll each 500 ms, 3 candidates.
     pub fn new(own: Member, table: T, witnesses: W, clock: C) -> LeasesBuilder<T, W, C> {
         LeasesBuilder {
             own,
@@ -41,16 +42,19 @@
         }
     }
 
+    /// How long a lease lasts from the moment its write or extension was sent.
     pub fn ttl_ms(mut self, ttl_ms: u64) -> Self {
         self.ttl_ms = ttl_ms;
         self
     }
 
+    /// Interval of renewals; well under half the TTL, when extensions begin.
     pub fn renew_ms(mut self, renew_ms: u64) -> Self {
         self.renew_ms = renew_ms;
         self
     }
 
+    /// Interval at which candidates read rows.
     pub fn poll_ms(mut self, poll_ms: u64) -> Self {
         self.poll_ms = poll_ms;
         self
@@ -62,11 +66,13 @@
         self
     }
 
+    /// Called before each move of a shard by rebalancing; `hand_over` does not call it.
     pub fn state_sender(mut self, state_sender: StateSender) -> Self {
         self.state_sender = Some(state_sender);
         self
     }
 
+    /// `Leases::run` takes an `Rc`, so that others can ask for leases while it runs.
     pub fn build(self) -> Rc<Leases<T, W, C>> {
         Rc::new(Leases::new(self))
     }
