Test a handover whose answer is lost

Cause: a trial in which the old holder went on until it had the answer passed all tests. Change: the handover test also loses the answer to the old holder.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -165,18 +165,22 @@
     });
 }
 
-/// Guards against a handover that leaves the shard to lapse, or that the old holder takes back.
+/// Guards against a handover that leaves the shard to lapse, and an old holder that goes on until it
+/// has the answer.
 #[test]
 fn handover_is_short() {
-    simulate(async {
-        let (world, old) = held(7, 5).await;
-        let leases = world.leases(old).unwrap();
-        let to = leases.successors(&SHARD).remove(0);
-        leases.hand_over(&SHARD, &to).await.unwrap();
-        assert_eq!(leases.held(&SHARD), None);
-        world.run_for(700).await;
-        assert_eq!(world.holder(&SHARD).map(|i| world.member(i)), Some(to));
-    });
+    for is_lost in [false, true] {
+        simulate(async {
+            let (world, old) = held(7, 5).await;
+            let leases = world.leases(old).unwrap();
+            let to = leases.successors(&SHARD).remove(0);
+            world.cut(Link::FromTable(old), if is_lost { 5000 } else { 0 });
+            let handover = leases.hand_over(&SHARD, &to);
+            let (outcome, ()) = tokio::join!(handover, world.run_for(700));
+            assert_eq!(outcome.is_err(), is_lost);
+            assert_eq!(world.holder(&SHARD).map(|i| world.member(i)), Some(to));
+        });
+    }
 }
 
 /// Guards against pools held or witnessed outside their region, which a cut between regions ends.
