--- a/tests/support/lease_sim.rs
+++ b/tests/support/lease_sim.rs
@@ -30,6 +30,8 @@
     Slow(u64, u64),
     /// Reads are served, writes take effect after the delay and are not answered.
     LateWrites(u64),
+    /// Reads are served, writes take effect and are answered after the delay.
+    LateAnswers(u64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -54,7 +56,7 @@
     }
 }
 
-type SimLeases = Leases<SimTable, SimPeers, SimClock>;
+type SimLeases = Leases<Site, Site, SimClock>;
 
 struct Node {
     member: Member,
@@ -155,9 +157,9 @@
             return;
         }
         node.member.incarnation = Incarnation(self.random.borrow_mut().random());
-        let table = SimTable { world: self.clone(), node: i };
-        let peers = SimPeers { world: self.clone(), node: i };
-        let leases = LeasesBuilder::new(node.member.clone(), table, peers, node.clock).build();
+        let site = Site { world: self.clone(), node: i };
+        let builder = LeasesBuilder::new(node.member.clone(), site.clone(), site, node.clock);
+        let leases = builder.build();
         node.paused_until_ms = Rc::default();
         node.events = Some(leases.events());
         node.task = Some(spawn_local(Pausable {
@@ -193,11 +195,16 @@
 
     pub fn isolate_from_peers(&self, i: usize, for_ms: u64) {
         for other in 0..self.nodes.borrow().len() {
-            self.cut(Link::Peers(i, other), for_ms);
-            self.cut(Link::Peers(other, i), for_ms);
+            self.cut_peers(i, other, for_ms);
         }
     }
 
+    /// Cuts two peers off from each other, in both directions.
+    pub fn cut_peers(&self, i: usize, j: usize, for_ms: u64) {
+        self.cut(Link::Peers(i, j), for_ms);
+        self.cut(Link::Peers(j, i), for_ms);
+    }
+
     pub fn isolate(&self, i: usize, for_ms: u64) {
         self.isolate_from_peers(i, for_ms);
         self.cut(Link::ToTable(i), for_ms);
@@ -303,6 +310,7 @@
             Some(TableFault::Silent) => return std::future::pending().await,
             Some(TableFault::LosesAnswers) => (0, 0, false),
             Some(TableFault::Slow(before, after)) => (before, after, true),
+            Some(TableFault::LateAnswers(late)) if is_write => (0, late, true),
             Some(TableFault::LateWrites(late)) if is_write => (late, 0, false),
             _ => (0, 0, true),
         };
@@ -336,13 +344,14 @@
     panic!("{shard} is held without an event");
 }
 
+/// The table and the network as one node reaches them.
 #[derive(Clone)]
-pub struct SimTable {
+pub struct Site {
     world: Rc<World>,
     node: usize,
 }
 
-impl Table for SimTable {
+impl Table for Site {
     async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
         let keys = keys.to_vec();
         let read = move |world: &World| {
@@ -352,12 +361,7 @@
         self.world.call(self.node, false, read).await
     }
 
-    async fn scan(
-        &self,
-        _prefix: &str,
-        _after: &str,
-        _limit: usize,
-    ) -> Result<Vec<(String, Row)>, PlatformError> {
+    async fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<(String, Row)>, PlatformError> {
         unreachable!("leases do not scan")
     }
 
@@ -367,21 +371,11 @@
     }
 }
 
-#[derive(Clone)]
-pub struct SimPeers {
-    world: Rc<World>,
-    node: usize,
-}
-
-impl SimPeers {
+impl Site {
     /// A call to a peer. A paused peer handles it when it resumes.
-    async fn ask(
-        &self,
-        witness: &InstanceId,
-        vote: impl FnOnce(&SimLeases) -> bool + 'static,
-    ) -> bool {
+    async fn ask<F: FnOnce(&SimLeases) -> bool + 'static>(&self, to: &InstanceId, vote: F) -> bool {
         let (world, from) = (self.world.clone(), self.node);
-        let to = world.nodes.borrow().iter().position(|n| n.member.instance == *witness).unwrap();
+        let to = world.nodes.borrow().iter().position(|n| n.member.instance == *to).unwrap();
         let (sender, receiver) = oneshot::channel();
         spawn_local(async move {
             sleep(world.latency()).await;
@@ -402,7 +396,7 @@
     }
 }
 
-impl Witnesses for SimPeers {
+impl Witnesses for Site {
     /// A dead instance stays in the view for 5 s.
     fn candidates(&self) -> Vec<Member> {
         let (world, own) = (&self.world, self.node);
