Add the experiment frame and the peak experiment

Cause: the product's behaviour under load was not measured yet. Change: load generator with seeded open arrivals, callers that use /v1/addresses, checks from outside, report with bounds; rebalancing sends a budget shard's state before its lease.

--- /dev/null
+++ b/src/bench/check.rs
@@ -0,0 +1,96 @@
+//! Checks from outside: what callers got and what the stand-ins saw.
+
+use std::time::Duration;
+
+use crate::bench::report::Bound;
+use crate::bench::{BenchError, CallRecord, Ending, Fleet, Report};
+use crate::standin::{EngineStats, PlainStats, expected_length, expected_token};
+
+/// Memory must be free this long after the last request's end.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(200);
+
+/// Latency targets for 95 in 100 requests.
+pub const FIRST_TOKEN_TARGET_MS: u64 = 340;
+pub const BETWEEN_TOKENS_TARGET_MS: f64 = 64.0;
+
+/// The answer that a whole and correct one must equal.
+pub fn expected_answer(prompt: &str, max_tokens: u64) -> (u64, String) {
+    let length = expected_length(prompt, max_tokens);
+    (length, (0..length).map(|index| expected_token(prompt, index)).collect())
+}
+
+/// Whether a request's answer met both latency targets.
+pub fn is_in_time(record: &CallRecord) -> bool {
+    record.is_complete()
+        && record.first_token_ms.is_some_and(|ms| ms <= FIRST_TOKEN_TARGET_MS)
+        && record.mean_gap_ms() <= BETWEEN_TOKENS_TARGET_MS
+}
+
+/// Adds the bounds that hold for every experiment: whole answers, true refusals, no leaked key,
+/// no memory held.
+pub async fn check_invariants(
+    fleet: &Fleet,
+    records: &[CallRecord],
+    report: &mut Report,
+) -> Result<(), BenchError> {
+    let is_wrong = |record: &&CallRecord| {
+        let (length, text) = expected_answer(&record.prompt, record.max_tokens);
+        record.is_complete() && (record.output_tokens != length || record.text != text)
+    };
+    let wrong: Vec<&CallRecord> = records.iter().filter(is_wrong).collect();
+    for record in wrong.iter().take(3) {
+        report.progress(&format!(
+            "wrong answer of {} tokens for a limit of {}: {}",
+            record.output_tokens, record.max_tokens, record.prompt
+        ));
+    }
+    let none = Bound::AtMost(0.0);
+    report.bounded("answers not whole or spliced", wrong.len() as f64, "requests", none);
+    check_memory(fleet, report).await;
+    let mut leaked = 0;
+    for engine in fleet.prefill.iter().chain(&fleet.decode) {
+        // A stand-in that an experiment killed has no statistics.
+        if let Ok(stats) = fleet.stats::<EngineStats>(engine).await {
+            leaked += stats.secrets.with_secret;
+        }
+    }
+    for service in &fleet.plain {
+        if let Ok(stats) = fleet.stats::<PlainStats>(service).await {
+            leaked += stats.secrets.with_secret;
+        }
+    }
+    report.bounded("keys seen by endpoints", leaked as f64, "requests", none);
+    Ok(())
+}
+
+/// Waits up to the limit for the engines to hold nothing.
+pub async fn check_memory(fleet: &Fleet, report: &mut Report) {
+    let deadline = tokio::time::Instant::now() + RELEASE_LIMIT;
+    loop {
+        let mut held = 0;
+        for engine in fleet.prefill.iter().chain(&fleet.decode) {
+            if let Ok(stats) = fleet.stats::<EngineStats>(engine).await {
+                held += stats.used_pieces;
+            }
+        }
+        if held == 0 || tokio::time::Instant::now() >= deadline {
+            let none = Bound::AtMost(0.0);
+            report.bounded("pieces held 5 s after the end", held as f64, "pieces", none);
+            return;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Requests that were cut after their answer had begun.
+pub fn cut_answers(records: &[CallRecord]) -> usize {
+    records.iter().filter(|record| matches!(record.ending, Ending::Cut { .. })).count()
+}
+
+/// The value below which `share` of the values lie.
+pub fn quantile(mut values: Vec<f64>, share: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let index = ((values.len() as f64 * share).ceil() as usize).saturating_sub(1);
+    values.get(index).copied().unwrap_or(0.0)
+}
--- /dev/null
+++ b/src/bench/load.rs
@@ -0,0 +1,135 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::bench::{AddressBook, CallRecord, Caller, Prompt};
+
+/// Requests of one organisation, sent at random times whatever happens to earlier ones.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    pub organisation: SmolStr,
+    pub requests_per_s: f64,
+    /// Range of prompt lengths in words.
+    pub prompt_words: (usize, usize),
+    pub max_tokens: (u64, u64),
+    pub path: &'static str,
+    /// Share of prompts that begin with one of a few common texts.
+    pub common_prefix_share: f64,
+}
+
+impl Stream {
+    pub fn new(organisation: impl Into<SmolStr>, requests_per_s: f64) -> Stream {
+        Stream {
+            organisation: organisation.into(),
+            requests_per_s,
+            prompt_words: (50, 600),
+            max_tokens: (40, 160),
+            path: "/v1/completions",
+            common_prefix_share: 0.3,
+        }
+    }
+}
+
+const COMMON_PREFIXES: u32 = 5;
+const WORDS: [&str; 12] = [
+    "linen",
+    "waist",
+    "hem",
+    "window",
+    "mannequin",
+    "sleeve",
+    "mill",
+    "dye",
+    "lot",
+    "yarn",
+    "loom",
+    "audit",
+];
+
+/// Sends the streams' requests for a time and returns the records of all of them, once each has
+/// ended.
+pub async fn send_load(
+    caller: &Caller,
+    book: &AddressBook,
+    streams: &[Stream],
+    length: Duration,
+    seed: u64,
+) -> Vec<CallRecord> {
+    let records = Rc::new(RefCell::new(Vec::new()));
+    let mut senders = JoinSet::new();
+    for (i, stream) in streams.iter().enumerate() {
+        let random = StdRng::seed_from_u64(seed ^ ((i as u64 + 1) << 32));
+        senders.spawn_local(send_stream(
+            caller.clone(),
+            book.clone(),
+            stream.clone(),
+            length,
+            random,
+            Rc::clone(&records),
+        ));
+    }
+    while senders.join_next().await.is_some() {}
+    records.take()
+}
+
+async fn send_stream(
+    caller: Caller,
+    book: AddressBook,
+    stream: Stream,
+    length: Duration,
+    mut random: StdRng,
+    records: Rc<RefCell<Vec<CallRecord>>>,
+) {
+    let mut requests = JoinSet::new();
+    let mut at = Instant::now();
+    let end = at + length;
+    let mut number = 0;
+    loop {
+        let gap_s = -(1.0 - random.random::<f64>()).ln() / stream.requests_per_s;
+        at += Duration::from_secs_f64(gap_s);
+        if at >= end {
+            break;
+        }
+        tokio::time::sleep_until(at).await;
+        number += 1;
+        let prompt = draw_prompt(&stream, number, &mut random);
+        let choice = random.random();
+        let (caller, book, records) = (caller.clone(), book.clone(), Rc::clone(&records));
+        requests.spawn_local(async move {
+            let address = book.choose(choice).await;
+            let record = caller.complete(&address, &prompt).await;
+            records.borrow_mut().push(record);
+        });
+        while requests.try_join_next().is_some() {}
+    }
+    while requests.join_next().await.is_some() {}
+}
+
+/// A prompt that no other request has, so that a checker can tell requests apart.
+pub fn draw_prompt(stream: &Stream, number: u64, random: &mut StdRng) -> Prompt {
+    let words = random.random_range(stream.prompt_words.0..=stream.prompt_words.1);
+    let mut text = String::new();
+    if random.random_bool(stream.common_prefix_share) {
+        let prefix = random.random_range(0..COMMON_PREFIXES);
+        for i in 0..words / 2 {
+            let word = WORDS[(prefix as usize * 5 + i * 7) % WORDS.len()];
+            text.push_str(&format_smolstr!("{word}{prefix} "));
+        }
+    }
+    text.push_str(&format_smolstr!("request {} {number} ", random.random::<u32>()));
+    for _ in text.split(' ').count()..words {
+        text.push_str(WORDS[random.random_range(0..WORDS.len())]);
+        text.push(' ');
+    }
+    let max_tokens = random.random_range(stream.max_tokens.0..=stream.max_tokens.1);
+    let mut prompt = Prompt::new(stream.organisation.clone(), text.trim_end(), max_tokens);
+    prompt.path = stream.path;
+    prompt.request_id = Some(format_smolstr!("{:016x}", random.random::<u64>()));
+    prompt
+}
--- /dev/null
+++ b/src/bench/options.rs
@@ -0,0 +1,14 @@
+use std::time::Duration;
+
+use crate::bench::{Deployment, Programs};
+
+/// What the command line asks of an experiment.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub programs: Programs,
+    pub deployment: Deployment,
+    pub seed: u64,
+    /// Length of the measured load.
+    pub load: Duration,
+    pub is_json: bool,
+}
--- a/src/bin/almondroad-bench.rs
+++ b/src/bin/almondroad-bench.rs
@@ -3,24 +3,36 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
-use almondroad::bench::{BenchError, demo};
+use almondroad::bench::experiments::{self, EXPERIMENTS};
+use almondroad::bench::{BenchError, Deployment, Options, Programs, demo};
 use almondroad::gateway;
 use almondroad::settings::{GatewaySettings, load_settings};
 use pico_args::Arguments;
 
+const DEFAULT_LOAD_S: f64 = 15.0;
+
 const USAGE: &str = "\
 Run experiments with a fleet of processes on loopback.
 
 Usage:
     almondroad-bench demo
+    almondroad-bench list
+    almondroad-bench run NAME [options]
 
 Commands:
     demo    send one request through separate prefill and decode endpoints
+    list    name the experiments
+    run     run one experiment
 
 Options:
-    -h, --help    print this text
-    --version     print the version
+    --deployment NAME   association (default) or loomworks
+    --seed N            seed of the load, 1 by default
+    --seconds S         length of the load, 15 by default
+    --json              print one JSON object a line
+    -h, --help          print this text
+    --version           print the version
 
 Exit codes: 0 all bounds met, 1 failed or a bound missed, 2 usage.
 ";
@@ -34,6 +46,16 @@
     let command = arguments.subcommand();
     match command.as_ref().map(|command| command.as_deref()) {
         Ok(Some("demo")) => run(demo::run()),
+        Ok(Some("list")) => {
+            for (name, purpose) in EXPERIMENTS {
+                println!("{name:14} {purpose}");
+            }
+            ExitCode::SUCCESS
+        }
+        Ok(Some("run")) if !arguments.contains(["-h", "--help"]) => match parse(arguments) {
+            Ok((name, options)) => run(run_experiment(name, options)),
+            Err(error) => fail(&error),
+        },
         Ok(Some("process")) => run_process(arguments),
         _ if arguments.contains(["-h", "--help"]) => {
             print!("{USAGE}");
@@ -57,6 +79,31 @@
     }
 }
 
+fn parse(mut arguments: Arguments) -> Result<(String, Options), BenchError> {
+    let deployment = arguments.opt_value_from_str("--deployment")?;
+    let seed = arguments.opt_value_from_str("--seed")?;
+    let seconds: Option<f64> = arguments.opt_value_from_str("--seconds")?;
+    let is_json = arguments.contains("--json");
+    let name = arguments.free_from_str()?;
+    if let Some(argument) = arguments.finish().first() {
+        let cause = format!("unknown argument {}", argument.display());
+        return Err(pico_args::Error::ArgumentParsingFailed { cause }.into());
+    }
+    let options = Options {
+        programs: Programs::of_this_program().map_err(BenchError::Runtime)?,
+        deployment: deployment.unwrap_or(Deployment::Association),
+        seed: seed.unwrap_or(1),
+        load: Duration::from_secs_f64(seconds.unwrap_or(DEFAULT_LOAD_S).clamp(1.0, 600.0)),
+        is_json,
+    };
+    Ok((name, options))
+}
+
+async fn run_experiment(name: String, options: Options) -> Result<(), BenchError> {
+    let report = experiments::run(&name, &options).await?;
+    if report.is_ok() { Ok(()) } else { Err(BenchError::BoundMissed) }
+}
+
 /// Runs one process of a fleet: the gateway or a stand-in.
 fn run_process(mut arguments: Arguments) -> ExitCode {
     match arguments.subcommand().ok().flatten().as_deref() {
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -20,7 +20,7 @@
         if node.leases.held(&shard).is_none() {
             continue;
         }
-        let Some(successor) = successor_of(node, &shard) else { continue };
+        let Some(successor) = node.leases.successors(&shard).into_iter().next() else { continue };
         let is_sent = send_state(Rc::clone(node), shard.clone(), successor.clone()).await;
         if !is_sent {
             log::warn!(target: "lease", "state of {shard} not sent, its lease will lapse");
@@ -31,15 +31,3 @@
         }
     }
 }
-
-fn successor_of(node: &Node, shard: &ShardId) -> Option<Member> {
-    let own = &node.settings.instance;
-    let mut candidates = node.membership.candidates();
-    candidates.retain(|member| member.instance != *own);
-    if let ShardId::Pool { region, .. } = shard {
-        candidates.retain(|member| member.region == *region);
-    }
-    candidates
-        .into_iter()
-        .max_by_key(|member| crate::hash::stable_hash(&format!("{shard}|{}", member.instance)))
-}
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -9,13 +9,14 @@
 use crate::budget::{Allowances, Budgets, RequestClaims};
 use crate::clock::BootClock;
 use crate::config::{Configuration, Witness};
+use crate::gateway::handover::send_state;
 use crate::gateway::node::SharedEngines;
 use crate::gateway::ownership::{follow_configuration, follow_leases};
 use crate::gateway::{
     Engines, GatewayError, GatewayHandler, GatewayMetrics, Node, NodeDraws, NodePeers, PeerVersions,
 };
 use crate::http::serve;
-use crate::lease::LeasesBuilder;
+use crate::lease::{LeasesBuilder, StateSender};
 use crate::once::ServiceLatency;
 use crate::peer::{Member, Membership, Peers, accept_peers};
 use crate::platform::{HttpPlatform, InstanceList, ListedInstance, ListedState};
@@ -95,7 +96,9 @@
             node_peers.clone(),
             witness,
         );
-        let leases = LeasesBuilder::new(own.clone(), platform.clone(), node_peers, clock).build();
+        let leases = LeasesBuilder::new(own.clone(), platform.clone(), node_peers, clock)
+            .state_sender(state_sender(weak.clone()))
+            .build();
         let allowances = Allowances::new(
             clock,
             NodeDraws::new(weak.clone()),
@@ -128,6 +131,19 @@
     })
 }
 
+/// Lets rebalancing send a shard's state before its lease.
+fn state_sender(node: Weak<Node>) -> StateSender {
+    Rc::new(move |shard, successor| {
+        let node = node.upgrade();
+        Box::pin(async move {
+            match node {
+                Some(node) => send_state(node, shard, successor).await,
+                None => false,
+            }
+        })
+    })
+}
+
 fn spawn_tasks(node: &Rc<Node>, peer_listener: TcpListener) -> JoinSet<()> {
     let (shards_sender, shards) = watch::channel(Vec::new());
     let mut tasks = JoinSet::new();
