--- a/src/gateway/gateway_error.rs
+++ b/src/gateway/gateway_error.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{Display, Error, From};
 
+use crate::http::TransportError;
 use crate::settings::SettingsError;
 
 /// Why the gateway could not run.
@@ -15,6 +16,8 @@
     #[display("runtime cannot be set up: {_0}")]
     #[from(ignore)]
     Runtime(io::Error),
+    #[display("{_0}")]
+    Transport(TransportError),
     #[display("metrics cannot be set up: {_0}")]
     Metrics(metrics_exporter_prometheus::BuildError),
 }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -15,7 +15,7 @@
 use crate::gateway::{
     Engines, GatewayError, GatewayHandler, GatewayMetrics, Node, NodeDraws, NodePeers, PeerVersions,
 };
-use crate::http::serve;
+use crate::http::{Transport, serve_with};
 use crate::lease::{LeasesBuilder, StateSender};
 use crate::once::ServiceLatency;
 use crate::peer::{Member, Membership, Peers, accept_peers};
@@ -64,11 +64,15 @@
         heartbeat_counter: 0,
         load_permille: 0,
     };
+    let transport = match &settings.tls {
+        Some(tls) => tls.transport()?,
+        None => Transport::Plain,
+    };
     let node = build_node(settings, own, metrics);
     let tasks = spawn_tasks(&node, peer_listener);
     let handler = Rc::new(GatewayHandler::new(Rc::clone(&node)));
     let shutdown = node.shutdown.subscribe();
-    let server = tokio::task::spawn_local(serve(http_listener, handler, shutdown));
+    let server = tokio::task::spawn_local(serve_with(http_listener, transport, handler, shutdown));
     Ok(RunningGateway { node, http_address, peer_address, tasks, server })
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,10 +6,12 @@
 mod local_executor;
 mod response_body;
 mod server;
+mod transport;
 
 pub use handler::Handler;
 pub use http_client::HttpClient;
 pub use http_error::HttpError;
 pub use local_executor::LocalExecutor;
 pub use response_body::{BrokenStream, ResponseBody};
-pub use server::serve;
+pub use server::{serve, serve_with};
+pub use transport::{Transport, TransportError};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,13 +6,15 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::http::{Handler, LocalExecutor};
+use crate::http::{Handler, LocalExecutor, Transport};
 
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_HEADER_BYTES: usize = 32 << 10;
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -23,6 +25,16 @@
     listener: TcpListener,
     handler: Rc<H>,
     shutdown: watch::Receiver<bool>,
+) {
+    serve_with(listener, Transport::Plain, handler, shutdown).await;
+}
+
+/// Like `serve`, over the given transport.
+pub async fn serve_with<H: Handler>(
+    listener: TcpListener,
+    transport: Transport,
+    handler: Rc<H>,
+    shutdown: watch::Receiver<bool>,
 ) {
     let mut stop = shutdown.clone();
     let mut connections = JoinSet::new();
@@ -31,8 +43,8 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, remote)) => {
                     let handler = Rc::clone(&handler);
-                    connections.spawn_local(serve_connection(
-                        stream, remote, handler, shutdown.clone(),
+                    connections.spawn_local(accept_connection(
+                        stream, transport.clone(), remote, handler, shutdown.clone(),
                     ));
                 }
                 Err(error) => {
@@ -48,14 +60,34 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve_connection<H: Handler>(
+async fn accept_connection<H: Handler>(
     stream: TcpStream,
+    transport: Transport,
     remote: SocketAddr,
     handler: Rc<H>,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
 ) {
     // Token streams are small writes; delaying them would add to the time between tokens.
     let _ = stream.set_nodelay(true);
+    let Transport::Tls(acceptor) = transport else {
+        return serve_connection(stream, remote, handler, shutdown).await;
+    };
+    match tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await {
+        Ok(Ok(stream)) => serve_connection(stream, remote, handler, shutdown).await,
+        Ok(Err(error)) => log::debug!("TLS handshake with {remote} failed: {error}"),
+        Err(_) => log::debug!("TLS handshake with {remote} timed out"),
+    }
+}
+
+async fn serve_connection<S, H>(
+    stream: S,
+    remote: SocketAddr,
+    handler: Rc<H>,
+    mut shutdown: watch::Receiver<bool>,
+) where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+    H: Handler,
+{
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
         .http1()
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Deserializer};
 use smol_str::SmolStr;
 
-use crate::settings::LogSettings;
+use crate::settings::{LogSettings, TlsSettings};
 use crate::units::{InstanceId, RegionId, ZoneId};
 
 /// Settings of the gateway. Everything else is in the configuration document.
@@ -20,6 +20,9 @@
     /// Address for peers. Port 0 lets the kernel choose.
     #[serde(default = "any_port")]
     pub peer_listen: SocketAddr,
+    /// TLS towards callers and operators. Without it, connections are plain TCP.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
     /// Address of the platform's table, object store and instance list.
     pub platform_address: SmolStr,
     /// First document of a new deployment. It is only used while the platform has none.
@@ -111,6 +114,7 @@
                 zone,
                 http_listen: any_port(),
                 peer_listen: any_port(),
+                tls: None,
                 platform_address: SmolStr::default(),
                 first_document_file: None,
                 max_body_bytes: default_max_body_bytes(),
--- /dev/null
+++ b/src/settings/tls_settings.rs
@@ -0,0 +1,19 @@
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+use crate::http::{Transport, TransportError};
+
+/// Certificate chain and key in PEM files.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    pub certificate_file: PathBuf,
+    pub key_file: PathBuf,
+}
+
+impl TlsSettings {
+    pub fn transport(&self) -> Result<Transport, TransportError> {
+        Transport::tls(&self.certificate_file, &self.key_file)
+    }
+}
