Name range and unit in errors of settings, wait for every instance

Cause: a settings file with a missing comma was accepted; a wrong unit was answered with `expected u64`; four settings had no range; `wait` looked at one instance only; `status` showed the endpoints of one owner only, without warm or cold; a reader such as `head` made the client panic.

Conclusion: an operator sees where, what was expected, and who lags.

--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -11,7 +11,7 @@
     #[display("{problem}\nRun `almondroad --help` for the commands and their arguments.")]
     #[from(ignore)]
     Usage { problem: String },
-    #[display("cannot use {path}: {source}")]
+    #[display("cannot use {path}: {source}\nCheck the name of the file.")]
     #[from(ignore)]
     File { path: SmolStr, source: std::io::Error },
     #[display("{source}\nCheck the address given with --gateway, or name another instance.")]
@@ -38,11 +38,12 @@
     #[from(ignore)]
     Different,
     #[display(
-        "the gateway is still at version {current}. Run `almondroad history` to see whether \
-         version {wanted} exists."
+        "version {wanted} is not in force everywhere: {}\nIf no instance has it, run `almondroad \
+         history` to see whether it exists. An instance that keeps lagging for 3 s is cut off or \
+         stuck; see its log.", lagging.join(", ")
     )]
     #[from(ignore)]
-    NotInForce { current: u64, wanted: u64 },
+    NotInForce { wanted: u64, lagging: Vec<SmolStr> },
 }
 
 impl CmdError {
--- a/src/cmd/edit.rs
+++ b/src/cmd/edit.rs
@@ -18,7 +18,9 @@
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let section = required(&mut arguments, "SECTION")?;
     no_more(arguments)?;
-    let editor = std::env::var("EDITOR").map_err(|_| CmdError::usage("set EDITOR"))?;
+    let editor = std::env::var("EDITOR").map_err(|_| {
+        CmdError::usage("set EDITOR to the program that edits the text, such as EDITOR=vi")
+    })?;
     let gateway = Gateway::of(options)?;
     let read = gateway.get_text(Some(&section)).await?;
     let path = write_draft(&section, &read.text)?;
--- /dev/null
+++ b/src/cmd/fleet_status.rs
@@ -0,0 +1,103 @@
+use std::time::Duration;
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::cmd::{CmdError, Gateway};
+
+/// Another instance that does not answer in this time is left out.
+const OTHER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One instance's view of the fleet: the answer of `/admin/v1/status`.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct FleetStatus {
+    pub instance: SmolStr,
+    pub version: u64,
+    pub is_confirmed: bool,
+    pub has_store: bool,
+    pub requests_in_flight: u64,
+    pub instances: Vec<InstanceEntry>,
+    pub holders: Vec<HolderEntry>,
+    /// Endpoints of the pools that the answering instance owns.
+    pub endpoints: Vec<EndpointEntry>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct InstanceEntry {
+    pub instance: SmolStr,
+    pub zone: SmolStr,
+    pub http_address: SmolStr,
+    pub is_leaving: bool,
+    pub load_permille: u32,
+    pub version: Option<u64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct HolderEntry {
+    pub shard: SmolStr,
+    pub holder: SmolStr,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct EndpointEntry {
+    pub endpoint: SmolStr,
+    pub is_up: bool,
+    pub used_slots: u32,
+    pub slot_limit: u32,
+}
+
+impl FleetStatus {
+    pub async fn read(gateway: &Gateway) -> Result<FleetStatus, CmdError> {
+        let answer = gateway.get_json("status").await?;
+        serde_json::from_value(answer).map_err(|_| gateway.malformed("an unknown form of status"))
+    }
+
+    /// Asks the other owners of pools for the endpoints that only they know.
+    pub async fn add_endpoints_of_other_owners(&mut self, gateway: &Gateway) {
+        let owns_pool = |instance: &InstanceEntry| {
+            self.holders
+                .iter()
+                .any(|h| h.holder == instance.instance && h.shard.starts_with("pool"))
+        };
+        let others: Vec<SmolStr> = self
+            .instances
+            .iter()
+            .filter(|entry| entry.instance != self.instance && owns_pool(entry))
+            .map(|entry| entry.http_address.clone())
+            .collect();
+        for address in others {
+            let other = gateway.at(address);
+            let read = tokio::time::timeout(OTHER_TIMEOUT, FleetStatus::read(&other)).await;
+            if let Ok(Ok(status)) = read {
+                self.endpoints.extend(status.endpoints);
+            }
+        }
+    }
+
+    /// Instances that do not have the version in force. The version in the status comes from a
+    /// heartbeat and may be old, so an instance that seems to lag is asked itself.
+    pub async fn lagging(&self, gateway: &Gateway, wanted: u64) -> Vec<SmolStr> {
+        let mut lagging = Vec::new();
+        for entry in &self.instances {
+            if entry.version >= Some(wanted) {
+                continue;
+            }
+            let own = version_of(&gateway.at(entry.http_address.clone())).await;
+            match own.max(entry.version) {
+                Some(version) if version >= wanted => {}
+                Some(version) => lagging.push(format!("{} at {version}", entry.instance).into()),
+                None => lagging.push(format!("{} at an unknown version", entry.instance).into()),
+            }
+        }
+        lagging
+    }
+}
+
+async fn version_of(gateway: &Gateway) -> Option<u64> {
+    let read = tokio::time::timeout(OTHER_TIMEOUT, gateway.get_json("version")).await;
+    read.ok()?.ok()?["version"].as_u64()
+}
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 use hyper::header::{AUTHORIZATION, ETAG, HeaderName, HeaderValue, IF_MATCH};
 use serde::Deserialize;
 use serde_json::Value;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 
 use crate::cmd::{CmdError, Credential, Options, Refusal};
 use crate::http::{HttpClient, HttpError};
@@ -38,6 +38,11 @@
         Ok(Gateway { client, credential: options.credential()? })
     }
 
+    /// Another instance, asked with the same credential.
+    pub(super) fn at(&self, address: SmolStr) -> Gateway {
+        Gateway { client: HttpClient::new(address), credential: self.credential.clone() }
+    }
+
     pub async fn get_json(&self, path: &str) -> Result<Value, CmdError> {
         let (_, body) = self.call(Method::GET, path, None, Bytes::new()).await?;
         self.parse(&body)
@@ -130,7 +135,7 @@
         serde_json::from_slice(body).map_err(|_| self.malformed("an answer that is not JSON"))
     }
 
-    fn malformed(&self, reason: &str) -> CmdError {
+    pub(super) fn malformed(&self, reason: &str) -> CmdError {
         let address = self.client.address().clone();
         CmdError::Unreachable { source: HttpError::Malformed { address, reason: reason.into() } }
     }
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -1,6 +1,7 @@
 use pico_args::Arguments;
 use serde_json::json;
 
+use crate::cmd::table::print_text;
 use crate::cmd::{CmdError, Gateway, Options, no_more};
 
 pub(super) const USAGE: &str = "\
@@ -15,11 +16,12 @@
     no_more(arguments)?;
     let read = Gateway::of(options)?.get_text(section.as_deref()).await?;
     if options.is_json {
-        println!("{}", json!({ "version": read.version, "text": read.text }));
+        let answer = json!({ "version": read.version, "text": read.text });
+        print_text(&format!("{answer}\n"));
     } else {
-        print!("{}", read.text);
+        print_text(&read.text);
         if !read.text.ends_with('\n') {
-            println!();
+            print_text("\n");
         }
         eprintln!("version {}", read.version);
     }
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -1,21 +1,25 @@
 use pico_args::Arguments;
 
-use crate::cmd::table::print_table;
+use crate::cmd::table::{print_text, render_table, rows_of};
 use crate::cmd::{CmdError, Gateway, Options, no_more};
 
 pub(super) const USAGE: &str = "\
 usage: almondroad history
 
-Lists the newest changes, newest first: version, team, section and size.
+Lists the newest changes, newest first: version, team, section, size and the attempt's id. A
+section that starts with @ was changed by the service itself.
 ";
 
+const COLUMNS: [&str; 6] =
+    ["version", "team", "section", "removed_bytes", "inserted_bytes", "attempt"];
+
 pub(super) async fn run(arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     no_more(arguments)?;
     let answer = Gateway::of(options)?.get_json("history").await?;
     if options.is_json {
-        println!("{answer}");
+        print_text(&format!("{answer}\n"));
     } else {
-        print_table(&answer["changes"]);
+        print_text(&render_table(&COLUMNS, &rows_of(&answer["changes"], &COLUMNS)));
     }
     Ok(())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod diff;
 mod edit;
 mod endpoint;
+mod fleet_status;
 mod gateway;
 mod get;
 mod history;
@@ -45,8 +46,8 @@
   key create|withdraw ORGANISATION NAME
   zone in|out ZONE                return a zone to service, or take it out
   endpoint drain|return ENDPOINT  stop new work on an endpoint, or allow it again
-  wait VERSION                    wait until a version is in force
-  status                          print instances, holders and endpoints
+  wait VERSION                    wait until every instance has a version in force
+  status                          print instances, owners and endpoints
 
 `almondroad COMMAND --help` describes a command. The credential of your team comes from
 ALMONDROAD_CREDENTIAL or from --credential-file.
@@ -76,7 +77,7 @@
 }
 
 async fn dispatch(mut arguments: Arguments) -> Result<(), CmdError> {
-    let wants_help = arguments.contains("--help");
+    let wants_help = arguments.contains(["-h", "--help"]);
     let options = Options::take(&mut arguments)?;
     let command = arguments.subcommand()?;
     let Some(command) = command else {
--- a/src/cmd/options.rs
+++ b/src/cmd/options.rs
@@ -14,6 +14,7 @@
 }
 
 /// A team's credential. It is never displayed.
+#[derive(Clone)]
 pub struct Credential(pub(super) String);
 
 impl fmt::Debug for Credential {
@@ -31,9 +32,15 @@
         })
     }
 
+    /// Address of the instance to ask, as HOST:PORT.
     pub(super) fn gateway(&self) -> Result<SmolStr, CmdError> {
-        let missing = "name an instance with --gateway ADDRESS";
-        self.gateway.clone().ok_or_else(|| CmdError::usage(missing))
+        let missing = "name an instance with --gateway ADDRESS, such as --gateway 127.0.0.1:9131";
+        let address = self.gateway.as_ref().ok_or_else(|| CmdError::usage(missing))?;
+        if address.contains('/') || !address.contains(':') {
+            let problem = format!("{address} is no address; expected HOST:PORT without a scheme");
+            return Err(CmdError::usage(problem));
+        }
+        Ok(address.clone())
     }
 
     pub(super) fn credential(&self) -> Result<Credential, CmdError> {
--- a/src/cmd/refusal.rs
+++ b/src/cmd/refusal.rs
@@ -24,7 +24,11 @@
             "unknown_section" => "Run `almondroad get` to see the document's sections.",
             "unknown_entry" => "Run `almondroad get SECTION` to see the names in use.",
             "key_exists" => "Choose another name, or withdraw the existing key first.",
-            "invalid_document" | "wrong_content" => "Correct the text; nothing was changed.",
+            "invalid_document" => {
+                "Nothing was changed. Lines count from the start of the document with your text \
+                 in place. Correct the text and put it again."
+            }
+            "wrong_content" => "Nothing was changed. Get the section again and repeat the edit.",
             "outcome_unknown" => "Run `almondroad history` before you repeat the edit.",
             "unknown_path" => "The gateway is of another release; use the client of its release.",
             _ => "Nothing was changed; try again in a few seconds.",
--- a/src/cmd/table.rs
+++ b/src/cmd/table.rs
@@ -1,26 +1,18 @@
-//! Prints an array of JSON objects as a table.
+//! Text tables and printing.
 
-use serde_json::Value;
+use std::io::Write;
 
-/// Each member's name is a column, in the order of first appearance.
-pub(super) fn print_table(rows: &Value) {
-    print!("{}", render(rows));
-}
+use serde_json::Value;
 
-fn render(rows: &Value) -> String {
-    let rows: Vec<_> = rows.as_array().into_iter().flatten().filter_map(Value::as_object).collect();
-    let mut columns: Vec<&str> = Vec::new();
-    for name in rows.iter().flat_map(|row| row.keys()) {
-        if !columns.contains(&name.as_str()) {
-            columns.push(name);
-        }
-    }
-    let mut lines = vec![columns.iter().map(ToString::to_string).collect::<Vec<_>>()];
-    for row in rows {
-        lines.push(columns.iter().map(|name| cell(row.get(*name))).collect());
-    }
-    let width = |column: usize| lines.iter().map(|line| line[column].chars().count()).max();
-    let widths: Vec<_> = (0..columns.len()).map(|column| width(column).unwrap_or(0)).collect();
+/// Lines of a table whose columns are as wide as their widest cell.
+pub(super) fn render_table(columns: &[&str], rows: &[Vec<String>]) -> String {
+    let header = columns.iter().map(ToString::to_string).collect();
+    let lines: Vec<&Vec<String>> = std::iter::once(&header).chain(rows).collect();
+    let width = |column: usize| {
+        let cells = lines.iter().filter_map(|line| line.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns.len()).map(width).collect();
     let mut text = String::new();
     for line in &lines {
         let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
@@ -30,10 +22,22 @@
     text
 }
 
-fn cell(value: Option<&Value>) -> String {
+/// The named members of each object of an array, as rows.
+pub(super) fn rows_of(objects: &Value, members: &[&str]) -> Vec<Vec<String>> {
+    let objects = objects.as_array().into_iter().flatten();
+    objects.map(|object| members.iter().map(|name| cell(&object[*name])).collect()).collect()
+}
+
+fn cell(value: &Value) -> String {
     match value {
-        None | Some(Value::Null) => "-".into(),
-        Some(Value::String(text)) => text.clone(),
-        Some(other) => other.to_string(),
+        Value::Null => "-".into(),
+        Value::String(text) if text.is_empty() => "-".into(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
     }
 }
+
+/// Prints text to the standard output. A reader that has gone, such as `head`, is no failure.
+pub(super) fn print_text(text: &str) {
+    let _ = std::io::stdout().lock().write_all(text.as_bytes());
+}
--- a/src/cmd/wait.rs
+++ b/src/cmd/wait.rs
@@ -1,13 +1,16 @@
 use std::time::{Duration, Instant};
 
 use pico_args::Arguments;
+use serde_json::json;
 
+use crate::cmd::fleet_status::FleetStatus;
 use crate::cmd::{CmdError, Gateway, Options, no_more};
 
 pub(super) const USAGE: &str = "\
 usage: almondroad wait [--timeout SECONDS] VERSION
 
-Waits until the gateway has at least this version in force; 10 s unless --timeout says otherwise.
+Waits until every live instance has at least this version in force; 10 s unless --timeout says
+otherwise. Names the instances that lag if the time is over, with exit code 1.
 ";
 
 const DEFAULT_TIMEOUT_S: u64 = 10;
@@ -15,24 +18,27 @@
 
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let timeout_s: Option<u64> = arguments.opt_value_from_str("--timeout")?;
-    let wanted: Option<u64> = arguments.opt_free_from_str()?;
+    let wanted: Option<u64> = arguments.opt_free_from_str().map_err(|_| {
+        CmdError::usage("VERSION must be a number, as `almondroad history` lists them")
+    })?;
     let wanted = wanted.ok_or_else(|| CmdError::usage("VERSION is missing"))?;
     no_more(arguments)?;
     let deadline = Instant::now() + Duration::from_secs(timeout_s.unwrap_or(DEFAULT_TIMEOUT_S));
     let gateway = Gateway::of(options)?;
     loop {
-        let answer = gateway.get_json("version").await?;
-        let current = answer["version"].as_u64().unwrap_or_default();
-        if current >= wanted {
+        let status = FleetStatus::read(&gateway).await?;
+        let lagging = status.lagging(&gateway, wanted).await;
+        if lagging.is_empty() {
+            let count = status.instances.len();
             if options.is_json {
-                println!("{answer}");
+                println!("{}", json!({ "version": wanted, "instances": count }));
             } else {
-                println!("version {current} is in force");
+                println!("version {wanted} is in force on all live instances ({count})");
             }
             return Ok(());
         }
         if Instant::now() >= deadline {
-            return Err(CmdError::NotInForce { current, wanted });
+            return Err(CmdError::NotInForce { wanted, lagging });
         }
         tokio::time::sleep(PERIOD).await;
     }
--- a/src/jsonc/locate.rs
+++ b/src/jsonc/locate.rs
@@ -50,12 +50,19 @@
 }
 
 pub(super) fn parse(text: &str) -> Result<Option<Value<'_>>, JsoncError> {
-    let options = ParseOptions {
+    parse_to_ast(text, &CollectOptions::default(), &options())
+        .map(|parsed| parsed.value)
+        .map_err(|e| JsoncError::at_offset(text, e.range().start, e.kind().to_string()))
+}
+
+/// JSON with comments and trailing commas. The parser's defaults also accept missing commas and
+/// bare names, which hide slips of the writer.
+pub(super) fn options() -> ParseOptions {
+    ParseOptions {
         allow_comments: true,
         allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_loose_object_property_names: false,
         ..ParseOptions::default()
-    };
-    parse_to_ast(text, &CollectOptions::default(), &options)
-        .map(|parsed| parsed.value)
-        .map_err(|e| JsoncError::at_offset(text, e.range().start, e.kind().to_string()))
+    }
 }
--- a/src/jsonc/read.rs
+++ b/src/jsonc/read.rs
@@ -1,21 +1,31 @@
-use jsonc_parser::{ParseOptions, parse_to_serde_value};
+use jsonc_parser::parse_to_serde_value;
 use serde::de::DeserializeOwned;
 
+use crate::jsonc::locate::options;
 use crate::jsonc::{JsoncError, position_of_path};
 
 /// Reads a typed value. An unknown member, a wrong type or a value out of range is reported at
 /// its position in the text.
 pub fn read_jsonc<T: DeserializeOwned>(text: &str) -> Result<T, JsoncError> {
-    let options = ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        ..ParseOptions::default()
-    };
-    let value: serde_json::Value = parse_to_serde_value(text, &options)
+    let value: serde_json::Value = parse_to_serde_value(text, &options())
         .map_err(|e| JsoncError::at_offset(text, e.range().start, e.kind().to_string()))?;
     serde_path_to_error::deserialize(value).map_err(|error| {
         let offset = position_of_path(text, error.path());
-        let path = error.path().to_string();
-        JsoncError::at_offset(text, offset, format!("{path}: {}", error.inner()))
+        let reason = describe(&error.inner().to_string());
+        let message = match error.path().to_string().as_str() {
+            "." => reason,
+            path => format!("{path}: {reason}"),
+        };
+        JsoncError::at_offset(text, offset, message)
     })
 }
+
+/// Replaces the names of Rust's integer types, which mean nothing to the writer of a file.
+fn describe(reason: &str) -> String {
+    for name in ["expected u64", "expected u32"] {
+        if let Some(start) = reason.strip_suffix(name) {
+            return format!("{start}expected a whole number, 0 or more");
+        }
+    }
+    reason.to_owned()
+}
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -1,10 +1,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use serde::{Deserialize, Deserializer};
+use serde::Deserialize;
 use smol_str::SmolStr;
 
 use crate::settings::LogSettings;
+use crate::settings::values::{
+    addresses_ttl, body_bytes, host_and_port, listen_address, queue_wait, request_count,
+    request_timeout,
+};
 use crate::units::{InstanceId, RegionId, ZoneId};
 
 /// Settings of the gateway. Everything else is in the configuration document.
@@ -15,33 +19,34 @@
     pub region: RegionId,
     pub zone: ZoneId,
     /// Address for callers and operators. Port 0 lets the kernel choose.
-    #[serde(default = "any_port")]
+    #[serde(default = "any_port", deserialize_with = "listen_address")]
     pub http_listen: SocketAddr,
     /// Address for peers. Port 0 lets the kernel choose.
-    #[serde(default = "any_port")]
+    #[serde(default = "any_port", deserialize_with = "listen_address")]
     pub peer_listen: SocketAddr,
     /// Address of the platform's table, object store and instance list.
+    #[serde(deserialize_with = "host_and_port")]
     pub platform_address: SmolStr,
     /// First document of a new deployment. It is only used while the platform has none.
     #[serde(default)]
     pub first_document_file: Option<PathBuf>,
     /// Largest body of a request.
-    #[serde(default = "default_max_body_bytes", deserialize_with = "positive_bytes")]
+    #[serde(default = "default_max_body_bytes", deserialize_with = "body_bytes")]
     pub max_body_bytes: usize,
     /// Longest time that a request may take, if the caller sets no deadline.
     #[serde(default = "default_request_timeout_ms", deserialize_with = "request_timeout")]
     pub request_timeout_ms: u64,
     /// Longest wait of an interactive request for capacity.
-    #[serde(default = "default_interactive_queue_ms")]
+    #[serde(default = "default_interactive_queue_ms", deserialize_with = "queue_wait")]
     pub interactive_queue_ms: u64,
     /// Longest wait of a request on a waiting route for capacity.
-    #[serde(default = "default_waiting_queue_ms")]
+    #[serde(default = "default_waiting_queue_ms", deserialize_with = "queue_wait")]
     pub waiting_queue_ms: u64,
     /// How long callers may keep the answer of `/v1/addresses`.
-    #[serde(default = "default_addresses_ttl_ms")]
+    #[serde(default = "default_addresses_ttl_ms", deserialize_with = "addresses_ttl")]
     pub addresses_ttl_ms: u64,
     /// Concurrent requests at which the instance reports full load.
-    #[serde(default = "default_max_requests")]
+    #[serde(default = "default_max_requests", deserialize_with = "request_count")]
     pub max_requests: u32,
     #[serde(default)]
     pub log: LogSettings,
@@ -75,27 +80,6 @@
     512
 }
 
-fn positive_bytes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
-    in_range(usize::deserialize(deserializer)?, 1, 64 << 20, "bytes")
-}
-
-/// Refunds of older requests are worth nothing, so requests may not last longer.
-fn request_timeout<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-    in_range(u64::deserialize(deserializer)?, 1, 600_000, "milliseconds")
-}
-
-fn in_range<T, E>(value: T, least: T, most: T, unit: &str) -> Result<T, E>
-where
-    T: PartialOrd + std::fmt::Display,
-    E: serde::de::Error,
-{
-    if value < least || value > most {
-        let message = format!("expected {least} to {most} {unit}, found {value}");
-        return Err(E::custom(message));
-    }
-    Ok(value)
-}
-
 /// Builds settings in code, for tests and experiments.
 #[derive(Clone, Debug)]
 pub struct GatewaySettingsBuilder {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 mod log_settings;
 mod settings_error;
+mod values;
 
 pub use gateway_settings::{GatewaySettings, GatewaySettingsBuilder};
 pub use load::load_settings;
--- /dev/null
+++ b/src/settings/values.rs
@@ -0,0 +1,70 @@
+//! Values of settings with their ranges. Each error says what was expected.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::de::{Deserialize, Deserializer, Error, Unexpected, Visitor};
+use smol_str::SmolStr;
+
+pub(super) fn body_bytes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    let range = Range { least: 1, most: 64 << 20, unit: "bytes" };
+    Ok(deserializer.deserialize_u64(range)? as usize)
+}
+
+/// Refunds of older requests are worth nothing, so requests may not last longer.
+pub(super) fn request_timeout<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    d.deserialize_u64(Range { least: 1, most: 600_000, unit: "milliseconds" })
+}
+
+/// A request does not wait longer than it may take.
+pub(super) fn queue_wait<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    d.deserialize_u64(Range { least: 1, most: 600_000, unit: "milliseconds" })
+}
+
+/// A planned stop waits until the answers that callers keep have run out.
+pub(super) fn addresses_ttl<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    d.deserialize_u64(Range { least: 100, most: 60_000, unit: "milliseconds" })
+}
+
+pub(super) fn request_count<'de, D: Deserializer<'de>>(d: D) -> Result<u32, D::Error> {
+    Ok(d.deserialize_u64(Range { least: 1, most: 100_000, unit: "requests" })? as u32)
+}
+
+pub(super) fn listen_address<'de, D: Deserializer<'de>>(d: D) -> Result<SocketAddr, D::Error> {
+    let text = SmolStr::deserialize(d)?;
+    let expected = || D::Error::custom(format!("expected IP address:PORT, found \"{text}\""));
+    text.parse().map_err(|_| expected())
+}
+
+pub(super) fn host_and_port<'de, D: Deserializer<'de>>(d: D) -> Result<SmolStr, D::Error> {
+    let text = SmolStr::deserialize(d)?;
+    let parts = text.rsplit_once(':');
+    let is_port = |port: &str| port.parse::<u16>().is_ok_and(|port| port > 0);
+    if !parts.is_some_and(|(host, port)| !host.is_empty() && !host.contains('/') && is_port(port)) {
+        return Err(D::Error::custom(format!("expected HOST:PORT, found \"{text}\"")));
+    }
+    Ok(text)
+}
+
+/// Reads a whole number in a range. Its errors name the range and the unit.
+struct Range {
+    least: u64,
+    most: u64,
+    unit: &'static str,
+}
+
+impl Visitor<'_> for Range {
+    type Value = u64;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Range { least, most, unit } = self;
+        write!(f, "a whole number of {unit}, {least} to {most}")
+    }
+
+    fn visit_u64<E: Error>(self, value: u64) -> Result<u64, E> {
+        if value < self.least || value > self.most {
+            return Err(E::invalid_value(Unexpected::Unsigned(value), &self));
+        }
+        Ok(value)
+    }
+}
--- a/tests/cmd_check.rs
+++ b/tests/cmd_check.rs
@@ -119,7 +119,7 @@
     exit 1
     ");
     insta::assert_snapshot!(check_with("type", r#""weight": 4"#, r#""weight": "four""#), @r#"
-    DIR/type.jsonc:30:7: error: organisations.acacia-lodges.weight: invalid type: string "four", expected u32
+    DIR/type.jsonc:30:7: error: organisations.acacia-lodges.weight: invalid type: string "four", expected a whole number, 0 or more
     almondroad: DIR/type.jsonc does not pass its checks. Correct the errors and run the check again.
     exit 1
     "#);
@@ -162,10 +162,11 @@
     ");
     insta::assert_snapshot!(run(&["check", "/no/such/file"]), @"
     almondroad: cannot use /no/such/file: No such file or directory (os error 2)
+    Check the name of the file.
     exit 2
     ");
     insta::assert_snapshot!(run(&["get"]), @"
-    almondroad: name an instance with --gateway ADDRESS
+    almondroad: name an instance with --gateway ADDRESS, such as --gateway 127.0.0.1:9131
     Run `almondroad --help` for the commands and their arguments.
     exit 2
     ");
--- a/tests/cmd_edit.rs
+++ b/tests/cmd_edit.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod fakes;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::Command;
 use std::rc::Rc;
@@ -21,25 +22,47 @@
 
 const LOOMWORKS: &str = include_str!("../examples/loomworks.jsonc");
 
-struct AdminHandler(Admin<FakeStore, FakeStore, TokioClock, FakePeers>);
+struct AdminHandler {
+    admin: Admin<FakeStore, FakeStore, TokioClock, FakePeers>,
+    config: Rc<Config>,
+    /// Versions by which instance i10 is behind.
+    lag: Rc<Cell<u64>>,
+}
 
 impl Handler for AdminHandler {
     async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<ResponseBody> {
         if request.uri().path() == "/admin/v1/status" {
-            let status = r#"{"instances":[{"instance":"i0","version":1},{"instance":"i10"}],
-                "holders":[{"shard":"budget/0","holder":"i0"}],"endpoints":[]}"#;
+            let version = self.config.current().version.get();
+            let status = serde_json::json!({
+                "instance": "i0", "version": version, "is_confirmed": true, "has_store": true,
+                "instances": [
+                    { "instance": "i0", "zone": "jm-south-a", "version": version },
+                    { "instance": "i10", "version": version - self.lag.get() },
+                ],
+                "holders": [
+                    { "shard": "budget/0", "holder": "i0" },
+                    { "shard": "pool/jm-south/report/0", "holder": "i0" },
+                ],
+                "endpoints": [
+                    { "endpoint": "decode-jm-south-a-1", "is_up": true, "slot_limit": 2 },
+                    { "endpoint": "decode-jm-south-a-2", "is_up": true, "slot_limit": 22 },
+                    { "endpoint": "decode-jm-south-b-1", "is_up": false, "slot_limit": 2 },
+                ],
+            });
+            let status = status.to_string();
             return self
-                .0
+                .admin
                 .refusal(request.headers())
                 .unwrap_or_else(|| Response::new(ResponseBody::full(status)));
         }
-        self.0.handle(request).await
+        self.admin.handle(request).await
     }
 }
 
 struct Service {
     address: String,
     net: Rc<Net>,
+    lag: Rc<Cell<u64>>,
     _stop: watch::Sender<bool>,
 }
 
@@ -58,9 +81,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let (stop, stopped) = watch::channel(false);
-        let handler = Rc::new(AdminHandler(Admin::new(config)));
+        let lag = Rc::new(Cell::new(0));
+        let admin = Admin::new(Rc::clone(&config));
+        let handler = Rc::new(AdminHandler { admin, config, lag: Rc::clone(&lag) });
         spawn_local(serve(listener, handler, stopped));
-        Service { address, net, _stop: stop }
+        Service { address, net, lag, _stop: stop }
     }
 
     fn config(&self) -> Rc<Config> {
@@ -153,7 +178,8 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// Guards against a put that overwrites another operator's edit, and against changed exit codes.
+/// Guards against a put that overwrites another operator's edit, against changed exit codes, and
+/// against a wait that ends while an instance lags.
 #[tokio::test]
 async fn a_put_from_an_old_version_conflicts() {
     let test = async {
@@ -177,6 +203,10 @@
             std::fs::read_to_string(one).unwrap().trim()
         );
         assert_eq!(service.run("customers", &["wait", "2"]).await.code, 0);
+        service.lag.set(1);
+        let waited = service.run("customers", &["wait", "--timeout", "0", "2"]).await;
+        assert!(waited.code == 1 && waited.err.contains("i10 at 1"), "{}", waited.err);
+        service.lag.set(0);
         assert_eq!(service.run("customers", &["wait", "--timeout", "0", "3"]).await.code, 1);
         let history = service.run("customers", &["history"]).await;
         assert!(history.out.lines().nth(1).unwrap().contains("customers"), "{}", history.out);
@@ -204,7 +234,7 @@
         insta::assert_snapshot!(invalid.err, @"
         almondroad: the document does not pass its checks
         line 52, column 14: error: rates.sea-island: missing field `rate_tokens_per_s`
-        Correct the text; nothing was changed.
+        Nothing was changed. Lines count from the start of the document with your text in place. Correct the text and put it again.
         ");
         let editor = service.run("customers", &["edit", "rates"]).await;
         assert!(editor.err.contains("Set EDITOR"), "{}", editor.err);
@@ -235,23 +265,41 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// Guards against a table whose columns shift where a row lacks a member.
+/// Guards against a status that hides a lagging instance or the state of an endpoint, and against
+/// a table whose columns shift where a row lacks a member.
 #[tokio::test]
-async fn status_is_printed_as_tables() {
+async fn status_names_lagging_instances_and_endpoints() {
     let test = async {
         let service = Service::start().await;
+        service.lag.set(1);
+        service.run("platform", &["zone", "out", "jm-south-c"]).await;
         let printed = service.run("platform", &["status"]).await;
         insta::assert_snapshot!(printed.out, @"
+        i0 answers: version 2 confirmed, store reachable, 0 requests in flight
+
         instances:
-        instance  version
-        i0        1
-        i10       -
+        instance  zone        address  version  load  state
+        i0        jm-south-a           2        0%    live
+        i10                            1        0%    lagging
 
-        holders:
-        holder  shard
-        i0      budget/0
+        owners:
+        instance  pools              budget shards
+        i0        jm-south/report/0  0
 
         endpoints:
+        endpoint                 role or service  zone        state     running  slots allowed
+        decode-jm-south-a-1      decode report    jm-south-a  cold      0        2 of 22
+        decode-jm-south-a-2      decode report    jm-south-a  warm      0        22 of 22
+        decode-jm-south-b-1      decode report    jm-south-b  down      0        2 of 22
+        decode-jm-south-b-2      decode report    jm-south-b  no owner  -        -
+        decode-jm-south-c-1      decode report    jm-south-c  zone out  -        -
+        decode-jm-south-c-2      decode report    jm-south-c  zone out  -        -
+        order-desk-jm-south-a-1  order-desk       jm-south-a  in
+        order-desk-jm-south-b-1  order-desk       jm-south-b  in
+        order-desk-jm-south-c-1  order-desk       jm-south-c  zone out
+        prefill-jm-south-a-1     prefill report   jm-south-a  no owner  -        -
+        prefill-jm-south-b-1     prefill report   jm-south-b  no owner  -        -
+        prefill-jm-south-c-1     prefill report   jm-south-c  zone out  -        -
         ");
     };
     LocalSet::new().run_until(test).await;
