--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -116,8 +116,9 @@
         let largest = self.document.models.iter().max_by_key(|(_, m)| m.max_request_tokens());
         for (id, rate) in &self.document.rates {
             let at = [Member("rates"), Member(id.as_str())];
+            // An edit replaces one section, so a new organisation's rate has to come first.
             if !self.document.organisations.contains_key(id) {
-                self.error(&at, format!("rate of {id}: expected a member {id} in organisations"));
+                self.warning(&at, format!("rate of {id}: expected a member {id} in organisations"));
             }
             let (per_s, burst) = (rate.rate_tokens_per_s.get(), rate.burst_tokens);
             self.require_positive(
--- a/tests/cmd_edit.rs
+++ b/tests/cmd_edit.rs
@@ -214,6 +214,35 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against checks under which no order of edits adds or removes an organisation.
+#[tokio::test]
+async fn an_organisation_is_added_and_removed_by_two_edits() {
+    let test = async {
+        let service = Service::start().await;
+        let old = |section: &str| service.config().current().text.section(section).unwrap().into();
+        let (old_rates, old_organisations): (String, String) = (old("rates"), old("organisations"));
+        let rate = r#"{ "weavers": { "rate_tokens_per_s": 9, "burst_tokens": 20000 },"#;
+        let rates = file("more-rates", &old_rates.replacen('{', rate, 1));
+        let organisations = old_organisations.replacen('{', r#"{ "weavers": {},"#, 1);
+        let organisations = file("more-organisations", &organisations);
+        let early = service.run("customers", &["put", "organisations", &organisations]).await;
+        assert!(early.err.contains("expected a member weavers in rates"), "{}", early.err);
+        for (section, text) in [("rates", &rates), ("organisations", &organisations)] {
+            let put = service.run("customers", &["put", section, text]).await;
+            assert_eq!(put.code, 0, "{}", put.err);
+        }
+        let created = service.run("customers", &["key", "create", "weavers", "first"]).await;
+        assert_eq!(created.code, 0, "{}", created.err);
+        let (rates, organisations) =
+            (file("old-rates", &old_rates), file("old-organisations", &old_organisations));
+        for (section, text) in [("organisations", &organisations), ("rates", &rates)] {
+            let put = service.run("customers", &["put", section, text]).await;
+            assert_eq!(put.code, 0, "{}", put.err);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against refusals that show the credential, have no next step or take effect anyway.
 #[tokio::test]
 async fn refusals_name_the_next_step_and_no_credential() {
