Read the gateway's command line in one place

Cause: almondroad-gateway and almondroad-bench each had the code that loads settings and runs an instance; mains are to be thin. Some public items had no doc comment.

Change: gateway::run_gateway reads the arguments, with one error type; both mains call it. Doc comments for the items of cmd, settings, jsonc, admin.

Conclusion: no change of behaviour but the usage text after a wrong argument.

--- a/src/bin/almondroad-bench.rs
+++ b/src/bin/almondroad-bench.rs
@@ -1,14 +1,10 @@
 //! Load generation and experiments on loopback.
 
-use std::ffi::OsString;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use almondroad::bench::experiments::{self, EXPERIMENTS};
 use almondroad::bench::{BenchError, Deployment, Options, Programs, demo};
-use almondroad::gateway;
-use almondroad::settings::{GatewaySettings, load_settings};
 use pico_args::Arguments;
 
 const DEFAULT_LOAD_S: f64 = 15.0;
@@ -107,34 +103,12 @@
 /// Runs one process of a fleet: the gateway or a stand-in.
 fn run_process(mut arguments: Arguments) -> ExitCode {
     match arguments.subcommand().ok().flatten().as_deref() {
-        Some("gateway") => run_gateway(arguments),
+        Some("gateway") => almondroad::gateway::run_gateway(arguments.finish()),
         Some("standin") => almondroad::standin::run_standin(arguments.finish()),
         _ => ExitCode::from(2),
     }
 }
 
-fn run_gateway(mut arguments: Arguments) -> ExitCode {
-    let parse = |path: &std::ffi::OsStr| Ok::<PathBuf, BenchError>(OsString::from(path).into());
-    let path = match arguments.value_from_os_str("--settings", parse) {
-        Ok(path) => path,
-        Err(error) => return fail(&BenchError::Usage(error)),
-    };
-    let settings: GatewaySettings = match load_settings(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("almondroad-gateway: {error}");
-            return ExitCode::from(2);
-        }
-    };
-    match gateway::run_process(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("almondroad-gateway: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
 fn fail(error: &BenchError) -> ExitCode {
     eprintln!("almondroad-bench: {error}");
     match error {
--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -47,6 +47,7 @@
 }
 
 impl CmdError {
+    /// A wrong use of the command line.
     pub fn usage(problem: impl Into<String>) -> CmdError {
         CmdError::Usage { problem: problem.into() }
     }
--- a/src/cmd/fleet_status.rs
+++ b/src/cmd/fleet_status.rs
@@ -51,6 +51,7 @@
 }
 
 impl FleetStatus {
+    /// Asks an instance.
     pub async fn read(gateway: &Gateway) -> Result<FleetStatus, CmdError> {
         let answer = gateway.get_json("status").await?;
         serde_json::from_value(answer).map_err(|_| gateway.malformed("an unknown form of status"))
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -33,6 +33,7 @@
 }
 
 impl Gateway {
+    /// The instance and the credential that the options name.
     pub fn of(options: &Options) -> Result<Gateway, CmdError> {
         let client = HttpClient::new(options.gateway()?);
         Ok(Gateway { client, credential: options.credential()? })
@@ -43,11 +44,13 @@
         Gateway { client: HttpClient::new(address), credential: self.credential.clone() }
     }
 
+    /// Reads an answer below `/admin/v1/`.
     pub async fn get_json(&self, path: &str) -> Result<Value, CmdError> {
         let (_, body) = self.call(Method::GET, path, None, Bytes::new()).await?;
         self.parse(&body)
     }
 
+    /// Reads a section, or the whole document.
     pub async fn get_text(&self, section: Option<&str>) -> Result<VersionedText, CmdError> {
         let path = section.map_or_else(|| "document".into(), |name| format!("sections/{name}"));
         let (tag, body) = self.call(Method::GET, &path, None, Bytes::new()).await?;
--- a/src/cmd/options.rs
+++ b/src/cmd/options.rs
@@ -24,6 +24,7 @@
 }
 
 impl Options {
+    /// Takes the shared options out of the arguments.
     pub fn take(arguments: &mut pico_args::Arguments) -> Result<Options, CmdError> {
         Ok(Options {
             gateway: arguments.opt_value_from_str("--gateway")?,
--- a/src/config/admin.rs
+++ b/src/config/admin.rs
@@ -30,10 +30,12 @@
 }
 
 impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Admin<T, O, C, W> {
+    /// Answers for this configuration.
     pub fn new(configuration: Rc<Configuration<T, O, C, W>>) -> Self {
         Admin { configuration }
     }
 
+    /// Answers one request; a refusal is an answer too.
     pub async fn handle<B>(&self, request: Request<B>) -> Response<ResponseBody>
     where
         B: Body<Data = Bytes, Error: Into<BodyError>>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The entry instance: puts the parts together and answers callers, peers and operators.
 
 mod addresses;
+mod command;
 mod engines;
 mod gateway_error;
 mod gateway_metrics;
@@ -18,6 +19,7 @@
 mod status;
 mod stop;
 
+pub use command::run_gateway;
 pub use engines::Engines;
 pub use gateway_error::GatewayError;
 pub use gateway_metrics::GatewayMetrics;
--- a/src/jsonc/positions.rs
+++ b/src/jsonc/positions.rs
@@ -21,6 +21,7 @@
 }
 
 impl<'a> Positions<'a> {
+    /// Parses JSON with comments.
     pub fn parse(text: &'a str) -> Result<Positions<'a>, JsoncError> {
         Ok(Positions { text, root: parse(text)? })
     }
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -87,6 +87,7 @@
 }
 
 impl GatewaySettingsBuilder {
+    /// Settings with defaults and an empty address of the platform.
     pub fn new(instance: InstanceId, region: RegionId, zone: ZoneId) -> GatewaySettingsBuilder {
         GatewaySettingsBuilder {
             settings: GatewaySettings {
@@ -108,21 +109,25 @@
         }
     }
 
+    /// Address of the platform, as HOST:PORT.
     pub fn platform_address(mut self, address: impl Into<SmolStr>) -> GatewaySettingsBuilder {
         self.settings.platform_address = address.into();
         self
     }
 
+    /// Address for callers and operators.
     pub fn http_listen(mut self, address: SocketAddr) -> GatewaySettingsBuilder {
         self.settings.http_listen = address;
         self
     }
 
+    /// Address for the other instances.
     pub fn peer_listen(mut self, address: SocketAddr) -> GatewaySettingsBuilder {
         self.settings.peer_listen = address;
         self
     }
 
+    /// The finished settings.
     pub fn build(self) -> GatewaySettings {
         self.settings
     }
--- a/src/settings/log_settings.rs
+++ b/src/settings/log_settings.rs
@@ -20,6 +20,7 @@
     pub level: LogLevel,
 }
 
+/// Form of the log's lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LogFormat {
@@ -28,6 +29,7 @@
     Json,
 }
 
+/// Least severe level that is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LogLevel {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -50,6 +50,20 @@
     }
 }
 
+/// Guards against an instance that starts with arguments it does not know, or without settings.
+#[test]
+fn a_wrong_usage_starts_nothing() {
+    for (arguments, expected) in [
+        (&["--check"][..], "the '--settings' option must be set"),
+        (&["--settings", "x", "--chekc"][..], "unknown argument --chekc"),
+    ] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_almondroad-gateway"));
+        let output = printed(command.args(arguments).output().unwrap());
+        assert!(output.starts_with(&format!("almondroad-gateway: {expected}")), "{output}");
+        assert!(output.contains("Usage:") && output.ends_with("exit 2"), "{output}");
+    }
+}
+
 /// Guards against a misspelt setting that is ignored.
 #[test]
 fn an_unknown_or_missing_setting_is_named() {
