--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 use hyper::header::{AUTHORIZATION, ETAG, HeaderName, HeaderValue, IF_MATCH};
 use serde::Deserialize;
 use serde_json::Value;
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 
 use crate::cmd::{CmdError, Credential, Options, Refusal};
 use crate::http::{HttpClient, HttpError};
@@ -33,16 +33,24 @@
 }
 
 impl Gateway {
+    /// The instance and the credential that the options name.
     pub fn of(options: &Options) -> Result<Gateway, CmdError> {
         let client = HttpClient::new(options.gateway()?);
         Ok(Gateway { client, credential: options.credential()? })
     }
 
+    /// Another instance, asked with the same credential.
+    pub(super) fn at(&self, address: SmolStr) -> Gateway {
+        Gateway { client: HttpClient::new(address), credential: self.credential.clone() }
+    }
+
+    /// Reads an answer below `/admin/v1/`.
     pub async fn get_json(&self, path: &str) -> Result<Value, CmdError> {
         let (_, body) = self.call(Method::GET, path, None, Bytes::new()).await?;
         self.parse(&body)
     }
 
+    /// Reads a section, or the whole document.
     pub async fn get_text(&self, section: Option<&str>) -> Result<VersionedText, CmdError> {
         let path = section.map_or_else(|| "document".into(), |name| format!("sections/{name}"));
         let (tag, body) = self.call(Method::GET, &path, None, Bytes::new()).await?;
@@ -130,7 +138,7 @@
         serde_json::from_slice(body).map_err(|_| self.malformed("an answer that is not JSON"))
     }
 
-    fn malformed(&self, reason: &str) -> CmdError {
+    pub(super) fn malformed(&self, reason: &str) -> CmdError {
         let address = self.client.address().clone();
         CmdError::Unreachable { source: HttpError::Malformed { address, reason: reason.into() } }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod log_settings;
 mod settings_error;
 mod tls_settings;
+mod values;
 
 pub use gateway_settings::{GatewaySettings, GatewaySettingsBuilder};
 pub use load::load_settings;
