--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -15,6 +15,9 @@
 use crate::standin::{EngineRole, EngineSettings, PlainSettings, PlatformSettings};
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Added for each gateway: they start one after the other and each reads the document.
+const READY_TIMEOUT_PER_GATEWAY: Duration = Duration::from_secs(1);
+const ENDPOINTS_PER_SLICE: usize = 64;
 const READY_POLL: Duration = Duration::from_millis(50);
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -32,6 +35,8 @@
     platform: PlatformSettings,
     plain: PlainSettings,
     rates: Vec<(u64, u64)>,
+    idle_organisations: usize,
+    repeated_endpoints: usize,
     log_level: &'static str,
 }
 
@@ -61,6 +66,8 @@
             platform: PlatformSettings::default(),
             plain: PlainSettings { key_marker: Some(KEY_MARKER.into()), ..Default::default() },
             rates: vec![(1_000_000, 4_000_000); deployment.organisations().len()],
+            idle_organisations: 0,
+            repeated_endpoints: 0,
             log_level: "warn",
         }
     }
@@ -102,6 +109,19 @@
         self
     }
 
+    /// Organisations in the document besides the deployment's own.
+    pub fn idle_organisations(mut self, idle_organisations: usize) -> FleetBuilder {
+        self.idle_organisations = idle_organisations;
+        self
+    }
+
+    /// Entries of the document that name the engines again, in slices of their own, so that a
+    /// few processes stand for many endpoints without load.
+    pub fn repeated_endpoints(mut self, repeated_endpoints: usize) -> FleetBuilder {
+        self.repeated_endpoints = repeated_endpoints;
+        self
+    }
+
     pub fn log_level(mut self, level: &'static str) -> FleetBuilder {
         self.log_level = level;
         self
@@ -141,6 +161,7 @@
             endpoints.push(self.place(name, &process, i, EndpointKind::Plain));
             plain.push(process);
         }
+        self.repeat_endpoints(&mut endpoints);
         let document = self.document(endpoints);
         write(&directory.join("document.jsonc"), &document.text())?;
         let mut gateways = Vec::new();
@@ -182,6 +203,20 @@
         }
     }
 
+    fn repeat_endpoints(&self, endpoints: &mut Vec<PlacedEndpoint>) {
+        let engines: Vec<PlacedEndpoint> =
+            endpoints.iter().filter(|e| e.kind != EndpointKind::Plain).cloned().collect();
+        for (i, engine) in engines.iter().cycle().take(self.repeated_endpoints).enumerate() {
+            let slice = self.slices + (i / ENDPOINTS_PER_SLICE) as u32;
+            let kind = match engine.kind {
+                EndpointKind::Prefill { .. } => EndpointKind::Prefill { slice },
+                _ => EndpointKind::Decode { slice },
+            };
+            let name = format_smolstr!("repeated-{i}");
+            endpoints.push(PlacedEndpoint { name, kind, ..engine.clone() });
+        }
+    }
+
     fn document(&self, endpoints: Vec<PlacedEndpoint>) -> FleetDocument {
         FleetDocument {
             deployment: self.deployment,
@@ -194,6 +229,7 @@
             link_bytes_per_s: self.engine.link_bytes_per_s,
             rates: self.rates.clone(),
             checks_fencing: self.engine.checks_fencing,
+            idle_organisations: self.idle_organisations,
         }
     }
 }
@@ -349,7 +385,8 @@
             }
         };
         let waited_for = "every gateway serving with all shards held";
-        tokio::time::timeout(READY_TIMEOUT, ready)
+        let limit = READY_TIMEOUT + READY_TIMEOUT_PER_GATEWAY * self.gateways.len() as u32;
+        tokio::time::timeout(limit, ready)
             .await
             .map_err(|_| BenchError::FleetNotReady { waited_for })
     }
--- a/src/bench/fleet_document.rs
+++ b/src/bench/fleet_document.rs
@@ -21,6 +21,9 @@
 /// Text that all callers' keys of a fleet contain.
 pub const KEY_MARKER: &str = "arkey-";
 
+/// Rate and burst of organisations without callers.
+const IDLE_RATE: (u64, u64) = (1_000, 4_000);
+
 /// An endpoint process and its place.
 #[derive(Clone, Debug)]
 pub struct PlacedEndpoint {
@@ -51,6 +54,8 @@
     /// Rate and burst of each organisation, in the deployment's order.
     pub rates: Vec<(u64, u64)>,
     pub checks_fencing: bool,
+    /// Organisations besides the deployment's own.
+    pub idle_organisations: usize,
 }
 
 impl FleetDocument {
@@ -90,27 +95,30 @@
     }
 
     fn write_organisations(&self, text: &mut String) {
-        let names = self.deployment.organisations();
-        text.push_str("  \"organisations\": {\n");
-        for (i, name) in names.iter().enumerate() {
-            let hash = KeyHash::of_key(&key_of(name));
-            let comma = if i + 1 < names.len() { "," } else { "" };
-            let _ = writeln!(
-                text,
-                "    \"{name}\": {{ \"keys\": {{ \"main\": {{ \"sha256\": \"{hash}\" }} }}, \"weight\": 1 }}{comma}"
-            );
-        }
-        text.push_str(
-            "  },\n  // Tokens of prompts and answers, for the whole fleet.\n  \"rates\": {\n",
-        );
-        for (i, (name, (rate, burst))) in names.iter().zip(&self.rates).enumerate() {
-            let comma = if i + 1 < names.len() { "," } else { "" };
-            let _ = writeln!(
-                text,
-                "    \"{name}\": {{ \"rate_tokens_per_s\": {rate}, \"burst_tokens\": {burst} }}{comma}"
-            );
-        }
-        text.push_str("  },\n");
+        let idle = (0..self.idle_organisations).map(|i| format!("idle-{i:05}"));
+        let own = self.deployment.organisations().into_iter().map(str::to_owned);
+        let names: Vec<String> = own.chain(idle).collect();
+        let organisations: Vec<String> = names
+            .iter()
+            .map(|name| {
+                let hash = KeyHash::of_key(&key_of(name));
+                format!(
+                    "    \"{name}\": {{ \"keys\": {{ \"main\": {{ \"sha256\": \"{hash}\" }} }}, \"weight\": 1 }}"
+                )
+            })
+            .collect();
+        let _ = writeln!(text, "  \"organisations\": {{\n{}\n  }},", organisations.join(",\n"));
+        let _ = writeln!(text, "  // Tokens of prompts and answers, for the whole fleet.");
+        let rates: Vec<String> = names
+            .iter()
+            .zip(self.rates.iter().chain(std::iter::repeat(&IDLE_RATE)))
+            .map(|(name, (rate, burst))| {
+                format!(
+                    "    \"{name}\": {{ \"rate_tokens_per_s\": {rate}, \"burst_tokens\": {burst} }}"
+                )
+            })
+            .collect();
+        let _ = writeln!(text, "  \"rates\": {{\n{}\n  }},", rates.join(",\n"));
     }
 
     fn write_zones(&self, text: &mut String) {
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod options;
 mod process;
+mod process_usage;
 mod programs;
 
 pub mod check;
@@ -28,5 +29,6 @@
 pub use load::{Stream, draw_prompt, send_load};
 pub use options::Options;
 pub use process::Process;
+pub use process_usage::ProcessUsage;
 pub use programs::Programs;
 pub use report::Report;
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdout, Command};
 
-use crate::bench::BenchError;
+use crate::bench::{BenchError, ProcessUsage};
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_PREFIX: &str = "listening on ";
@@ -85,6 +85,11 @@
         self.child.wait().await.ok()?.code()
     }
 
+    /// What the process used until now; nothing once it has ended.
+    pub fn usage(&self) -> ProcessUsage {
+        self.child.id().map(ProcessUsage::of).unwrap_or_default()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = self.child.id().and_then(|id| Pid::from_raw(id as i32));
         if let Some(pid) = pid
--- /dev/null
+++ b/src/bench/process_usage.rs
@@ -0,0 +1,37 @@
+use std::fs;
+
+/// CPU time and memory of a process, as the kernel counts them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProcessUsage {
+    /// Time on a CPU of all threads, of the user and of the kernel.
+    pub cpu_ns: u64,
+    pub resident_kb: u64,
+    /// Part of the resident memory that no other process shares.
+    pub anonymous_kb: u64,
+}
+
+impl ProcessUsage {
+    pub fn of(pid: u32) -> ProcessUsage {
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        ProcessUsage {
+            cpu_ns: cpu_ns(pid),
+            resident_kb: member(&status, "VmRSS:"),
+            anonymous_kb: member(&status, "RssAnon:"),
+        }
+    }
+}
+
+/// The sum over the threads: `schedstat` counts nanoseconds, `stat` only hundredths of a second.
+fn cpu_ns(pid: u32) -> u64 {
+    let Ok(threads) = fs::read_dir(format!("/proc/{pid}/task")) else { return 0 };
+    let of_thread = |thread: fs::DirEntry| {
+        let text = fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<u64>().ok()
+    };
+    threads.flatten().filter_map(of_thread).sum()
+}
+
+fn member(status: &str, name: &str) -> u64 {
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
+use crate::peer::counted_stream::CountedStream;
 use crate::peer::{PeerClient, PeerError, PeerServer, PeerService};
 use crate::peer_capnp::peer;
 
@@ -69,12 +70,12 @@
     }
 }
 
-type Reader = BufReader<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>>;
+type Reader = BufReader<futures::io::ReadHalf<tokio_util::compat::Compat<CountedStream>>>;
 
 fn network(stream: TcpStream, side: Side) -> VatNetwork<Reader> {
     // Calls are small and latency counts.
     let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.compat().split();
+    let (reader, writer) = CountedStream::new(stream).compat().split();
     VatNetwork::new(BufReader::new(reader), BufWriter::new(writer), side, Default::default())
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Communication between instances: protocol, connections, membership.
 
 mod connection;
+mod counted_stream;
 mod decode;
 mod encode;
 mod heartbeat;
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -1,6 +1,7 @@
 use std::future::Future;
 use std::time::Duration;
 
+use metrics::counter;
 use smol_str::ToSmolStr;
 
 use crate::budget::{DrawAnswer, DrawRequest};
@@ -32,6 +33,7 @@
     }
 
     pub async fn heartbeat(&self, heartbeat: &Heartbeat) -> Result<Heartbeat, PeerError> {
+        count("heartbeat");
         let mut request = self.client.heartbeat_request();
         encode::heartbeat(request.get().init_heartbeat(), heartbeat);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -39,6 +41,7 @@
     }
 
     pub async fn holders(&self, shards: &[ShardId]) -> Result<Vec<Holding>, PeerError> {
+        count("holders");
         let mut request = self.client.holders_request();
         encode::shards(request.get().init_shards(shards.len() as u32), shards);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -46,6 +49,7 @@
     }
 
     pub async fn extend_lease(&self, claim: &LeaseClaim) -> Result<bool, PeerError> {
+        count("extend_lease");
         let mut request = self.client.extend_lease_request();
         encode::lease_claim(request.get().init_claim(), claim);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -53,6 +57,7 @@
     }
 
     pub async fn consent_takeover(&self, claim: &LeaseClaim) -> Result<bool, PeerError> {
+        count("consent_takeover");
         let mut request = self.client.consent_takeover_request();
         encode::lease_claim(request.get().init_claim(), claim);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -60,6 +65,7 @@
     }
 
     pub async fn hand_over(&self, shard: &ShardId, state: &[u8]) -> Result<bool, PeerError> {
+        count("hand_over");
         let mut request = self.client.hand_over_request();
         request.get().set_shard(shard.to_smolstr().as_str());
         request.get().set_state(state);
@@ -68,6 +74,7 @@
     }
 
     pub async fn draw(&self, draw: &DrawRequest) -> Result<DrawAnswer, PeerError> {
+        count("draw");
         let mut request = self.client.draw_request();
         encode::draw_request(request.get().init_request(), draw);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -80,6 +87,7 @@
         id: &RequestId,
         attempt: &AttemptId,
     ) -> Result<RequestClaim, PeerError> {
+        count("claim_request");
         let mut request = self.client.claim_request_request();
         let mut params = request.get();
         params.set_organisation(organisation.as_str());
@@ -96,6 +104,7 @@
         attempt: &AttemptId,
         completed: bool,
     ) -> Result<(), PeerError> {
+        count("finish_request");
         let mut request = self.client.finish_request_request();
         let mut params = request.get();
         params.set_organisation(organisation.as_str());
@@ -107,6 +116,7 @@
     }
 
     pub async fn admit(&self, admission: &Admission) -> Result<AdmitAnswer, PeerError> {
+        count("admit");
         let limit = Duration::from_millis(admission.queue_ms) + ADMIT_MARGIN;
         let mut request = self.client.admit_request();
         encode::admission(request.get().init_admission(), admission);
@@ -120,6 +130,7 @@
         finished: &FinishedAttempt,
         fingerprint: Fingerprint,
     ) -> Result<u32, PeerError> {
+        count("finish_attempt");
         let mut request = self.client.finish_attempt_request();
         request.get().set_shard(shard.to_smolstr().as_str());
         request.get().set_fingerprint(fingerprint.0);
@@ -135,6 +146,7 @@
         shard: &ShardId,
         attempts: &[Progress],
     ) -> Result<bool, PeerError> {
+        count("report_progress");
         let mut request = self.client.report_progress_request();
         let mut params = request.get();
         params.set_instance(instance.as_str());
@@ -146,6 +158,7 @@
     }
 
     pub async fn push_change(&self, change: &Change) -> Result<Version, PeerError> {
+        count("push_change");
         let mut request = self.client.push_change_request();
         encode::change(request.get().init_change(), change);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -156,6 +169,7 @@
         &self,
         version: Version,
     ) -> Result<(Vec<Change>, Version), PeerError> {
+        count("changes_since");
         let mut request = self.client.changes_since_request();
         request.get().set_version(version.0);
         let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
@@ -166,6 +180,7 @@
     }
 
     pub async fn snapshot(&self) -> Result<(Version, String), PeerError> {
+        count("snapshot");
         let request = self.client.snapshot_request();
         let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
         let response = response.get()?;
@@ -177,6 +192,7 @@
         version: Version,
         witness: Incarnation,
     ) -> Result<bool, PeerError> {
+        count("note_version");
         let mut request = self.client.note_version_request();
         request.get().set_version(version.0);
         request.get().set_witness_incarnation(witness.0);
@@ -185,6 +201,7 @@
     }
 
     pub async fn noted_version(&self, witness: Incarnation) -> Result<Option<Version>, PeerError> {
+        count("noted_version");
         let mut request = self.client.noted_version_request();
         request.get().set_witness_incarnation(witness.0);
         let response = limited(CALL_TIMEOUT, request.send().promise).await?;
@@ -193,6 +210,11 @@
     }
 }
 
+/// Counts a call by its method.
+fn count(method: &'static str) {
+    counter!("almondroad_peer_calls_total", "method" => method).increment(1);
+}
+
 async fn limited<T>(
     limit: Duration,
     call: impl Future<Output = Result<T, capnp::Error>>,
