Keep heartbeats and connections few in large fleets

Cause: each heartbeat and each answer carried up to 32 members and all known shard holders, and connections to neighbours that had rotated out stayed open, so that a fleet became a full mesh. An idle instance sent 44 KB/s to its peers in a fleet of 9 and 686 KB/s in one of 60; the limit is 14 KB/s.

Change: a heartbeat carries a tenth of the members and at least two; a changed holding is sent 64 times, others two at a time in turn; a connection that is not to a neighbour is closed once no call has asked for it for 30 s.

--- a/src/lease/known_holdings.rs
+++ b/src/lease/known_holdings.rs
@@ -3,44 +3,63 @@
 use crate::lease::Holding;
 use crate::units::ShardId;
 
+/// Heartbeats and answers that carry a change. With some sixteen a second, every neighbour that
+/// an instance has within four seconds hears of it.
+const SENDS_OF_CHANGE: u32 = 64;
+/// Unchanged holdings in each message, in turn, for instances that missed a change.
+const ROTATING: usize = 2;
+
 /// The newest known holder of each shard.
 #[derive(Debug, Default)]
 pub(super) struct KnownHoldings {
-    by_shard: BTreeMap<ShardId, (u64, Holding)>,
+    by_shard: BTreeMap<ShardId, Known>,
     changes: u64,
     cursor: usize,
 }
 
+#[derive(Debug)]
+struct Known {
+    change: u64,
+    sends_left: u32,
+    holding: Holding,
+}
+
 impl KnownHoldings {
     pub fn get(&self, shard: &ShardId) -> Option<Holding> {
-        self.by_shard.get(shard).map(|(_, holding)| holding.clone())
+        self.by_shard.get(shard).map(|known| known.holding.clone())
     }
 
     /// True if the holding is newer than the known one.
     pub fn learn(&mut self, holding: Holding) -> bool {
-        let known = self.by_shard.get(&holding.shard).map(|(_, known)| known.fencing);
+        let known = self.by_shard.get(&holding.shard).map(|known| known.holding.fencing);
         if known.is_some_and(|fencing| fencing >= holding.fencing) {
             return false;
         }
         self.changes += 1;
-        self.by_shard.insert(holding.shard.clone(), (self.changes, holding));
+        let shard = holding.shard.clone();
+        let known = Known { change: self.changes, sends_left: SENDS_OF_CHANGE, holding };
+        self.by_shard.insert(shard, known);
         true
     }
 
-    /// Half of the places go to the newest changes; the others rotate over all shards, so that an
-    /// instance that missed a change learns it too.
+    /// The newest changes that were not sent often enough, and a few others in turn: in a quiet
+    /// fleet, all holdings in every message cost more than the limit of control traffic.
     pub fn recent(&mut self, max: usize) -> Vec<Holding> {
-        let mut entries: Vec<&(u64, Holding)> = self.by_shard.values().collect();
-        entries.sort_by_key(|(change, _)| std::cmp::Reverse(*change));
-        let all = entries.len();
-        if all <= max {
-            return entries.into_iter().map(|(_, holding)| holding.clone()).collect();
+        let (mut changed, others): (Vec<&mut Known>, Vec<&mut Known>) =
+            self.by_shard.values_mut().partition(|known| known.sends_left > 0);
+        changed.sort_by_key(|known| std::cmp::Reverse(known.change));
+        let places = ROTATING.min(others.len()).min(max);
+        let mut sent: Vec<Holding> = Vec::new();
+        for known in changed.into_iter().take(max - places) {
+            known.sends_left -= 1;
+            sent.push(known.holding.clone());
+        }
+        if !others.is_empty() {
+            let start = self.cursor % others.len();
+            self.cursor = start + places;
+            let rotated = others.iter().cycle().skip(start).take(places);
+            sent.extend(rotated.map(|known| known.holding.clone()));
         }
-        let (newest, others) = entries.split_at(max - max / 2);
-        let places = (max / 2).min(others.len());
-        let start = self.cursor % others.len();
-        self.cursor = start + places;
-        let rotated = others.iter().cycle().skip(start).take(places);
-        newest.iter().chain(rotated).map(|(_, holding)| holding.clone()).collect()
+        sent
     }
 }
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -23,6 +23,10 @@
 /// Neighbours chosen by rendezvous order, and as many at random, in larger fleets.
 const STABLE_NEIGHBOURS: usize = 4;
 
+/// Members that each heartbeat carries: this part of the fleet, and at least the least number.
+const GOSSIP_DIVISOR: usize = 10;
+const MIN_GOSSIP: usize = 2;
+
 /// This instance's view of the fleet. It is a hint: safety rests on leases.
 pub struct Membership<C> {
     clock: C,
@@ -198,12 +202,15 @@
         members
     }
 
-    /// The next members to tell a peer about, in turn.
+    /// The next members to tell a peer about, in turn. Small fleets hear most members directly;
+    /// with a tenth of the members in each of some sixteen messages a second, larger ones hear of
+    /// each member more than once a second.
     pub fn gossip(&self, limit: usize) -> Vec<Member> {
         let now = self.clock.now();
         let all = self.known.borrow();
         let fresh: Vec<&Known> =
             all.values().filter(|known| known.heard_within(now, SUSPECT_AFTER_MS)).collect();
+        let limit = limit.min(fresh.len() / GOSSIP_DIVISOR + MIN_GOSSIP);
         let mut cursor = self.gossip_cursor.borrow_mut();
         let start = *cursor;
         *cursor = start.wrapping_add(limit);
--- a/src/peer/peers.rs
+++ b/src/peer/peers.rs
@@ -1,11 +1,11 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::watch;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Instant};
 use crate::peer::connection::Connection;
 use crate::peer::{Heartbeat, Member, Membership, PeerClient, PeerError};
 use crate::units::{Incarnation, InstanceId};
@@ -17,6 +17,9 @@
 /// How often the choice of neighbours is made again.
 const NEIGHBOUR_PERIOD: Duration = Duration::from_secs(5);
 const NEIGHBOUR_STARTUP_PERIOD: Duration = Duration::from_millis(200);
+/// A link that is not to a neighbour is closed once no call asked for it for this long. Neighbours
+/// change every few seconds, so links that stayed would become a full mesh.
+const UNUSED_LINK_MS: u64 = 30_000;
 const STARTUP_ROUNDS: u32 = 25;
 
 /// What a connection's task needs from the instance for its heartbeats.
@@ -24,7 +27,7 @@
     fn next_heartbeat(&self) -> Heartbeat;
 
     /// Takes in a peer's answer to a heartbeat that was sent at `sent_at`.
-    fn hear(&self, answer: &Heartbeat, sent_at: crate::clock::Instant);
+    fn hear(&self, answer: &Heartbeat, sent_at: Instant);
 }
 
 /// Connections to peers, one task for each.
@@ -38,6 +41,8 @@
 struct Link {
     incarnation: Incarnation,
     client: watch::Receiver<Option<PeerClient>>,
+    /// When a call last asked for the link.
+    used_at: Cell<Option<Instant>>,
     _stop: watch::Sender<()>,
 }
 
@@ -58,10 +63,12 @@
         source: &Rc<S>,
     ) -> Result<PeerClient, PeerError> {
         if let Some(client) = self.client(instance) {
+            self.note_use(instance);
             return Ok(client);
         }
         let member = self.membership.member(instance).ok_or(PeerError::NotConnected)?;
         let mut client = self.link(&member, source);
+        self.note_use(instance);
         let ready = client.wait_for(Option::is_some);
         match tokio::time::timeout(HEARTBEAT_PERIOD, ready).await {
             Ok(Ok(client)) => client.clone().ok_or(PeerError::NotConnected),
@@ -69,6 +76,12 @@
         }
     }
 
+    fn note_use(&self, instance: &InstanceId) {
+        if let Some(link) = self.links.borrow().get(instance) {
+            link.used_at.set(Some(self.clock.now()));
+        }
+    }
+
     /// Keeps connections to the neighbours of this instance.
     pub async fn run<S: HeartbeatSource>(&self, source: Rc<S>) {
         let mut round = 0;
@@ -105,17 +118,24 @@
             client: client_sender,
         };
         tokio::task::spawn_local(task.run(stopped));
-        let link = Link { incarnation: member.incarnation, client: client.clone(), _stop: stop };
+        let link = Link {
+            incarnation: member.incarnation,
+            client: client.clone(),
+            used_at: Cell::default(),
+            _stop: stop,
+        };
         links.insert(member.instance.clone(), link);
         client
     }
 
-    /// Keeps links that calls were made over, too: they are few, and reopening costs a round
-    /// trip of a request. Only links to members that are no longer known are dropped.
+    /// Keeps links that calls were made over lately, too: reopening one costs a round trip of a
+    /// request.
     fn drop_links_except(&self, neighbours: &[Member]) {
-        self.links.borrow_mut().retain(|instance, _| {
+        let now = self.clock.now();
+        self.links.borrow_mut().retain(|instance, link| {
             neighbours.iter().any(|member| member.instance == *instance)
-                || self.membership.member(instance).is_some()
+                || (link.used_at.get().is_some_and(|at| now.ms_since(at) < UNUSED_LINK_MS)
+                    && self.membership.member(instance).is_some())
         });
     }
 }
