--- a/src/bench/experiments/slopes/calls.rs
+++ b/src/bench/experiments/slopes/calls.rs
@@ -19,6 +19,8 @@
 };
 
 const WARM_UP: Duration = Duration::from_secs(12);
+/// A new holder grants nothing until grants of an earlier one have expired, and then fills.
+const NEW_HOLDER_WAIT: Duration = Duration::from_secs(5);
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const CALLS: u64 = 200;
 const ONCE_ROWS: &str = "once";
@@ -28,7 +30,7 @@
 
 /// Rows that at-most-once calls cost, and the CPU of a draw at its owner.
 pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
-    time_draws(report);
+    time_draws(report).await;
     let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
         .gateways(3)
         .engines(1, 1)
@@ -86,7 +88,7 @@
 }
 
 /// Times draws on one bucket by all instances of a large fleet, in this process.
-fn time_draws(report: &mut Report) {
+async fn time_draws(report: &mut Report) {
     let clock = BootClock;
     let organisation = OrganisationId::new("windhoek-drapers");
     let budgets = Budgets::new(clock, BUDGET_SHARDS);
@@ -97,6 +99,7 @@
     budgets.set_rates(&BTreeMap::from([(organisation.clone(), rate)]));
     let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
     budgets.gain(&shard, Fencing(1), clock.now());
+    tokio::time::sleep(NEW_HOLDER_WAIT).await;
     let lease_deadline = clock.now().plus_ms(3_600_000);
     let before = ProcessUsage::of(std::process::id());
     let mut granted = 0;
