--- a/src/bench/call_record.rs
+++ b/src/bench/call_record.rs
@@ -1,9 +1,13 @@
 use smol_str::SmolStr;
 
+use crate::bench::Prompt;
+
 /// What a caller saw of one request.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
     pub organisation: SmolStr,
+    /// Address of the instance that was asked.
+    pub address: SmolStr,
     pub prompt: String,
     pub max_tokens: u64,
     /// Since the experiment began.
@@ -35,6 +39,40 @@
 }
 
 impl CallRecord {
+    /// A request that has no answer yet.
+    pub fn sent(prompt: &Prompt, address: SmolStr, sent_at_ms: u64) -> CallRecord {
+        CallRecord {
+            organisation: prompt.organisation.clone(),
+            address,
+            prompt: prompt.text.clone(),
+            max_tokens: prompt.max_tokens,
+            sent_at_ms,
+            ended_at_ms: 0,
+            ending: Ending::NoAnswer,
+            first_token_ms: None,
+            longest_gap_ms: 0,
+            decode_ms: 0,
+            text: String::new(),
+            output_tokens: 0,
+            prompt_tokens: 0,
+        }
+    }
+
+    /// Counts a token that came `gap_ms` after the one before, or after the request.
+    pub fn note_token(&mut self, gap_ms: u64) {
+        self.output_tokens += 1;
+        if self.first_token_ms.is_none() {
+            self.first_token_ms = Some(gap_ms);
+        } else {
+            self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+            self.decode_ms += gap_ms;
+        }
+    }
+
+    pub fn is_refused(&self) -> bool {
+        matches!(self.ending, Ending::Refused { .. })
+    }
+
     pub fn is_complete(&self) -> bool {
         self.ending == Ending::Complete
     }
--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -73,20 +73,7 @@
 
     /// Sends one streamed request and reads its answer to the end.
     pub async fn complete(&self, address: &SmolStr, prompt: &Prompt) -> CallRecord {
-        let mut record = CallRecord {
-            organisation: prompt.organisation.clone(),
-            prompt: prompt.text.clone(),
-            max_tokens: prompt.max_tokens,
-            sent_at_ms: self.elapsed_ms(),
-            ended_at_ms: 0,
-            ending: Ending::NoAnswer,
-            first_token_ms: None,
-            longest_gap_ms: 0,
-            decode_ms: 0,
-            text: String::new(),
-            output_tokens: 0,
-            prompt_tokens: 0,
-        };
+        let mut record = CallRecord::sent(prompt, address.clone(), self.elapsed_ms());
         record.ending = match self.exchange(address, prompt, &mut record).await {
             Ok(ending) => ending,
             Err(_) if record.output_tokens > 0 => Ending::Cut { code: "broken".into() },
@@ -123,15 +110,8 @@
                 continue;
             }
             record.text.push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
-            record.output_tokens += 1;
             let now = Instant::now();
-            let gap_ms = now.duration_since(last_at).as_millis() as u64;
-            if record.first_token_ms.is_none() {
-                record.first_token_ms = Some(gap_ms);
-            } else {
-                record.longest_gap_ms = record.longest_gap_ms.max(gap_ms);
-                record.decode_ms += gap_ms;
-            }
+            record.note_token(now.duration_since(last_at).as_millis() as u64);
             last_at = now;
             if prompt.cancel_after_tokens == Some(record.output_tokens) {
                 return Ok(Ending::Cancelled);
--- /dev/null
+++ b/src/bench/experiments/cold.rs
@@ -0,0 +1,84 @@
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::bench::check::{BETWEEN_TOKENS_TARGET_MS, check_invariants, cut_answers, quantile};
+use crate::bench::experiments::measured::{WARM_UP, in_time_share, since, streams_of};
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::{
+    AddressBook, BenchError, CallRecord, Caller, Fleet, FleetBuilder, Gateways, Options, Report,
+    send_load_to,
+};
+use crate::standin::{EngineFaults, EngineStats};
+
+/// Leaves the other endpoints below nine tenths of their slots while a sixth is cold.
+const REQUESTS_PER_DECODE_PER_S: f64 = 3.5;
+/// Decode endpoints that turn cold, as a part of all.
+const COLD_PART: usize = 6;
+const COLD_MS: u64 = 8_000;
+/// Time in which the load on a cold endpoint must have fallen.
+const DETECTION: Duration = Duration::from_secs(2);
+/// New work is counted over this time, before and after.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Some decode endpoints become several times slower without notice.
+pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
+    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment).start().await?;
+    let total_per_s = REQUESTS_PER_DECODE_PER_S * fleet.decode.len() as f64;
+    let streams = streams_of(options, total_per_s);
+    let target = Gateways { caller: Caller::default(), book: AddressBook::new(fleet.addresses()) };
+    let length = WARM_UP + options.load.max(DETECTION + WINDOW * 2);
+    let (records, admitted) =
+        tokio::join!(send_load_to(&target, &streams, length, options.seed), turn_cold(&fleet),);
+    let (before, after) = admitted?;
+    let share = after as f64 / before.max(1) as f64;
+    report.value(PRODUCT, "cold endpoints", cold_count(&fleet) as f64, "endpoints");
+    report.value(PRODUCT, "new work there before, in 3 s", before as f64, "attempts");
+    report.bounded("new work there after 2 s, of before", share, "share", Bound::AtMost(0.5));
+    let during = since(&records, WARM_UP + DETECTION);
+    let fast: Vec<&CallRecord> = during
+        .iter()
+        .filter(|r| r.is_complete() && r.mean_gap_ms() <= BETWEEN_TOKENS_TARGET_MS)
+        .collect();
+    let first = fast.iter().filter_map(|record| record.first_token_ms);
+    let first = quantile(first.map(|ms| ms as f64).collect(), 0.95);
+    report.bounded("first token p95 of the others", first, "ms", Bound::AtMost(340.0));
+    let between = during.iter().filter(|r| r.is_complete()).map(|r| r.mean_gap_ms());
+    let between = quantile(between.collect(), 0.95);
+    report.bounded("between tokens p95 of all after 2 s", between, "ms", Bound::AtMost(64.0));
+    report.value(PRODUCT, "answered within both targets", in_time_share(&during), "share");
+    report.bounded("cut answers", cut_answers(&records) as f64, "requests", Bound::AtMost(0.0));
+    check_invariants(&fleet, &records, report).await?;
+    Ok(records)
+}
+
+fn cold_count(fleet: &Fleet) -> usize {
+    (fleet.decode.len() / COLD_PART).max(1)
+}
+
+/// Returns the attempts that began on the endpoints in a window before they turned cold and in
+/// a window after the detection time.
+async fn turn_cold(fleet: &Fleet) -> Result<(u64, u64), BenchError> {
+    sleep(WARM_UP - WINDOW).await;
+    let start = began(fleet).await?;
+    sleep(WINDOW).await;
+    let before = began(fleet).await? - start;
+    let faults = EngineFaults { cold_ms: COLD_MS, ..EngineFaults::default() };
+    for engine in &fleet.decode[..cold_count(fleet)] {
+        fleet.set_faults(engine, &faults).await?;
+    }
+    sleep(DETECTION).await;
+    let start = began(fleet).await?;
+    sleep(WINDOW).await;
+    Ok((before, began(fleet).await? - start))
+}
+
+/// Attempts that began on the endpoints that turn cold.
+async fn began(fleet: &Fleet) -> Result<u64, BenchError> {
+    let mut began = 0;
+    for engine in &fleet.decode[..cold_count(fleet)] {
+        let stats: EngineStats = fleet.stats(engine).await?;
+        began += stats.attempts.values().map(|counts| counts.decodes).sum::<u64>();
+    }
+    Ok(began)
+}
--- /dev/null
+++ b/src/bench/experiments/flood.rs
@@ -0,0 +1,119 @@
+use std::collections::HashMap;
+
+use smol_str::SmolStr;
+
+use crate::bench::check::{check_invariants, is_in_time};
+use crate::bench::experiments::measured::{WARM_UP, since};
+use crate::bench::report::{BASELINE, Bound, PRODUCT};
+use crate::bench::{
+    AddressBook, BenchError, CallRecord, Caller, FleetBuilder, Gateways, Options, Report, Stream,
+    send_load_to,
+};
+use crate::standin::{expected_length, prompt_tokens};
+
+/// Requests per second of each organisation within its rate. The rates' sum is below the
+/// engines' capacity, also with the flooding organisation at its whole rate.
+const REQUESTS_PER_DECODE_PER_S: f64 = 3.0;
+/// Mean tokens of a request of `Stream::new`: 325 of the prompt and about 95 of the answer.
+const TOKENS_PER_REQUEST: f64 = 420.0;
+/// What organisations within their rate send, as a part of it.
+const PART_OF_RATE: f64 = 0.8;
+const BURST_S: f64 = 4.0;
+const FLOOD_FACTOR: f64 = 5.0;
+
+/// One organisation sends five times its rate; the others stay within theirs.
+pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
+    let organisations = options.deployment.organisations();
+    let decode = options.deployment.engines().1 as f64;
+    let each_per_s = REQUESTS_PER_DECODE_PER_S * decode / organisations.len() as f64;
+    let rate = each_per_s / PART_OF_RATE * TOKENS_PER_REQUEST;
+    let rates = vec![(rate as u64, (rate * BURST_S) as u64); organisations.len()];
+    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
+        .rates(rates)
+        .start()
+        .await?;
+    let flooding = organisations[0];
+    let streams: Vec<Stream> = organisations
+        .iter()
+        .map(|name| {
+            let flood_per_s = each_per_s / PART_OF_RATE * FLOOD_FACTOR;
+            Stream::new(*name, if *name == flooding { flood_per_s } else { each_per_s })
+        })
+        .collect();
+    let target = Gateways { caller: Caller::default(), book: AddressBook::new(fleet.addresses()) };
+    let records = send_load_to(&target, &streams, WARM_UP + options.load, options.seed).await;
+    // The bucket starts full; only the warm-up of the endpoints is left out.
+    let whole = Limit { rate, burst: rate * BURST_S, gateways: 1 };
+    let split = Limit { gateways: fleet.gateways.len(), ..whole };
+    let steady = since(&records, WARM_UP);
+    let within = passed_by(&whole, &steady);
+    let split_passes = passed_by(&split, &steady);
+    let (mut all, mut refused, mut split_refused) = (0, 0, 0);
+    for (at, record) in steady.iter().enumerate() {
+        if record.organisation == flooding || !within[at] {
+            continue;
+        }
+        all += 1;
+        refused += usize::from(record.is_refused());
+        split_refused += usize::from(!split_passes[at]);
+    }
+    let share = |count: usize| count as f64 / f64::max(all as f64, 1.0);
+    report.value(PRODUCT, "requests of the others within rate", all as f64, "requests");
+    let name = "refused though within rate";
+    report.bounded(name, share(refused), "share", Bound::AtMost(0.005));
+    report.value(BASELINE, name, share(split_refused), "share");
+    let worst = worst_served(&steady, flooding);
+    report.value(PRODUCT, "goodput of the worst-served", worst, "share");
+    let flood = steady.iter().filter(|record| record.organisation == flooding);
+    let tokens: u64 = flood.map(|r| r.prompt_tokens + r.output_tokens).sum();
+    let taken = tokens as f64 / options.load.as_secs_f64() / rate;
+    report.value(PRODUCT, "flooding organisation's tokens of rate", taken, "share");
+    check_invariants(&fleet, &records, report).await?;
+    Ok(records)
+}
+
+/// Least share of requests within both targets among the organisations within their rate.
+fn worst_served(records: &[CallRecord], flooding: &str) -> f64 {
+    let mut served: HashMap<&SmolStr, (f64, f64)> = HashMap::new();
+    for record in records.iter().filter(|record| record.organisation != flooding) {
+        let (in_time, all) = served.entry(&record.organisation).or_default();
+        *in_time += f64::from(u8::from(is_in_time(record)));
+        *all += 1.0;
+    }
+    served.values().map(|(in_time, all)| in_time / all).fold(1.0, f64::min)
+}
+
+/// A rate limit that is split evenly over gateways.
+#[derive(Clone, Copy)]
+struct Limit {
+    rate: f64,
+    burst: f64,
+    gateways: usize,
+}
+
+/// Which of the arrivals buckets of this limit pass, each charged with the tokens that the
+/// request uses. With one gateway it tells which requests are within the rate.
+fn passed_by(limit: &Limit, records: &[CallRecord]) -> Vec<bool> {
+    let parts = limit.gateways as f64;
+    let mut buckets: HashMap<(SmolStr, SmolStr), (f64, u64)> = HashMap::new();
+    let mut order: Vec<usize> = (0..records.len()).collect();
+    order.sort_by_key(|at| records[*at].sent_at_ms);
+    let mut passed = vec![false; records.len()];
+    for at in order {
+        let record = &records[at];
+        let address = if limit.gateways == 1 { SmolStr::default() } else { record.address.clone() };
+        let burst = limit.burst / parts;
+        let bucket = buckets.entry((record.organisation.clone(), address));
+        let (level, since_ms) = bucket.or_insert((burst, record.sent_at_ms));
+        let elapsed_s = (record.sent_at_ms - *since_ms) as f64 / 1000.0;
+        *level = (*level + elapsed_s * limit.rate / parts).min(burst);
+        *since_ms = record.sent_at_ms;
+        let length = expected_length(&record.prompt, record.max_tokens);
+        let tokens = (prompt_tokens(&record.prompt) + length) as f64;
+        if *level >= tokens {
+            *level -= tokens;
+            passed[at] = true;
+        }
+    }
+    passed
+}
--- /dev/null
+++ b/src/bench/experiments/halve.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+use crate::bench::experiments::measured::{WARM_UP, streams_of};
+use crate::bench::experiments::removal::{Removal, run_removal};
+use crate::bench::{BenchError, CallRecord, FleetBuilder, Options, Report};
+
+/// Requests per second and decode endpoint that stays. It leaves the remaining half below nine
+/// tenths of its slots.
+const REQUESTS_PER_DECODE_PER_S: f64 = 4.5;
+
+/// Drains half of the endpoints of each role under load and returns them.
+pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
+    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment).start().await?;
+    // Endpoints are spread over the slices by their index, so each slice loses half of its own
+    // if it has an even number of them.
+    let (prefill, decode) = (fleet.prefill.len() / 2, fleet.decode.len() / 2);
+    let leaving: Vec<String> = (0..prefill)
+        .map(|i| format!("prefill-{i}"))
+        .chain((0..decode).map(|i| format!("decode-{i}")))
+        .collect();
+    let staying = fleet.decode.len() - decode;
+    let paths = |action: &str| -> Vec<String> {
+        leaving.iter().map(|name| format!("endpoints/{name}/{action}")).collect()
+    };
+    let removal = Removal {
+        streams: streams_of(options, REQUESTS_PER_DECODE_PER_S * staying as f64),
+        removes: paths("drain"),
+        returns: paths("return"),
+        leaving: leaving.clone(),
+        remove_after: WARM_UP,
+        return_after: WARM_UP + options.load.max(Duration::from_secs(8)),
+    };
+    run_removal(&fleet, &removal, options, report).await
+}
--- a/src/bench/experiments/peak.rs
+++ b/src/bench/experiments/peak.rs
@@ -1,43 +1,80 @@
-use crate::bench::check::{check_invariants, cut_answers, is_in_time, quantile};
-use crate::bench::report::{Bound, PRODUCT};
+use std::time::Duration;
+
+use crate::bench::check::{check_invariants, cut_answers, quantile};
+use crate::bench::experiments::measured::{
+    WARM_UP, goodput_share, in_time_share, since, streams_of,
+};
+use crate::bench::report::{BASELINE, Bound, PRODUCT};
 use crate::bench::{
-    AddressBook, BenchError, CallRecord, Caller, FleetBuilder, Options, Report, Stream, send_load,
+    AddressBook, BenchError, CallRecord, Caller, FleetBuilder, Gateways, Options, Report,
+    RoundRobin, prefills, sample_occupancy, send_load_to,
 };
 
-/// Requests per second that fill about nine tenths of a decode endpoint's slots: 20 slots, 40 ms
-/// between tokens when full, 100 tokens an answer.
-const REQUESTS_PER_DECODE_PER_S: f64 = 4.5;
+/// Requests per second that fill about nine tenths of a decode endpoint's 20 slots.
+pub const REQUESTS_PER_DECODE_PER_S: f64 = 4.9;
+/// Answers of one variant's load end before the next load begins.
+const PAUSE: Duration = Duration::from_secs(2);
 
-/// Load that keeps the decode endpoints at nine tenths of their slots.
-pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
-    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment).start().await?;
-    let organisations = options.deployment.organisations();
+/// Load that keeps the decode endpoints at nine tenths of their slots, measured once the
+/// endpoints have warmed up, and the same load on a plain round robin.
+pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
+    let mut fleet = FleetBuilder::new(options.programs.clone(), options.deployment).start().await?;
     let total_per_s = REQUESTS_PER_DECODE_PER_S * fleet.decode.len() as f64;
-    // A few organisations are large.
-    let shares = [0.4, 0.3, 0.15, 0.1, 0.05];
-    let streams: Vec<Stream> = organisations
-        .iter()
-        .zip(shares)
-        .map(|(organisation, share)| Stream::new(*organisation, total_per_s * share))
-        .collect();
+    let streams = streams_of(options, total_per_s);
     report.progress(&format!("{total_per_s:.0} requests/s to {} gateways", fleet.gateways.len()));
-    let caller = Caller::default();
-    let book = AddressBook::new(fleet.addresses());
-    let records = send_load(&caller, &book, &streams, options.load, options.seed).await;
-    report_service(&records, report);
-    check_invariants(&fleet, &records, report).await
+    let target = Gateways { caller: Caller::default(), book: AddressBook::new(fleet.addresses()) };
+    let length = WARM_UP + options.load;
+    let (records, slots) = tokio::join!(
+        send_load_to(&target, &streams, length, options.seed),
+        sample_occupancy(&fleet, WARM_UP, options.load),
+    );
+    let (ran, wasted) = prefills(&fleet).await;
+    let steady = since(&records, WARM_UP);
+    let [first, between] = latencies(&steady);
+    report.value(PRODUCT, "requests", steady.len() as f64, "requests");
+    report.value(PRODUCT, "refused", refused(&steady) as f64, "requests");
+    report.bounded("decode slots in use", slots, "share", Bound::AtLeast(0.9));
+    report.bounded("first token p95", first, "ms", Bound::AtMost(340.0));
+    report.bounded("between tokens p95", between, "ms", Bound::AtMost(64.0));
+    let in_time = in_time_share(&steady);
+    report.bounded("answered within both targets", in_time, "share", Bound::AtLeast(0.95));
+    let goodput = goodput_share(&steady);
+    report.bounded("goodput of offered tokens", goodput, "share", Bound::AtLeast(0.95));
+    let share = wasted as f64 / ran.max(1) as f64;
+    report.bounded("wasted prefills", share, "share", Bound::AtMost(0.01));
+    report.bounded("cut answers", cut_answers(&records) as f64, "requests", Bound::AtMost(0.0));
+    check_invariants(&fleet, &records, report).await?;
+    // The pools' owners would cancel attempts that they do not know.
+    fleet.gateways.clear();
+    tokio::time::sleep(PAUSE).await;
+    let robin = RoundRobin::new(&fleet);
+    let (baseline, slots) = tokio::join!(
+        send_load_to(&robin, &streams, length, options.seed),
+        sample_occupancy(&fleet, WARM_UP, options.load),
+    );
+    let (ran_after, wasted_after) = prefills(&fleet).await;
+    let steady = since(&baseline, WARM_UP);
+    let [first, between] = latencies(&steady);
+    report.value(BASELINE, "requests", steady.len() as f64, "requests");
+    report.value(BASELINE, "refused", refused(&steady) as f64, "requests");
+    report.value(BASELINE, "decode slots in use", slots, "share");
+    report.value(BASELINE, "first token p95", first, "ms");
+    report.value(BASELINE, "between tokens p95", between, "ms");
+    report.value(BASELINE, "answered within both targets", in_time_share(&steady), "share");
+    report.value(BASELINE, "goodput of offered tokens", goodput_share(&steady), "share");
+    let share = (wasted_after - wasted.min(wasted_after)) as f64 / (ran_after - ran).max(1) as f64;
+    report.value(BASELINE, "wasted prefills", share, "share");
+    Ok(records)
+}
+
+fn refused(records: &[CallRecord]) -> usize {
+    records.iter().filter(|record| record.is_refused()).count()
 }
 
-fn report_service(records: &[CallRecord], report: &mut Report) {
+/// p95 of the first token and of the mean time between tokens, of complete answers.
+fn latencies(records: &[CallRecord]) -> [f64; 2] {
     let complete: Vec<&CallRecord> = records.iter().filter(|r| r.is_complete()).collect();
-    let in_time = records.iter().filter(|record| is_in_time(record)).count();
-    let goodput = in_time as f64 / records.len().max(1) as f64;
-    let first: Vec<f64> =
-        complete.iter().filter_map(|r| r.first_token_ms).map(|ms| ms as f64).collect();
-    let between: Vec<f64> = complete.iter().map(|record| record.mean_gap_ms()).collect();
-    report.value(PRODUCT, "requests", records.len() as f64, "requests");
-    report.bounded("first token p95", quantile(first, 0.95), "ms", Bound::AtMost(340.0));
-    report.bounded("between tokens p95", quantile(between, 0.95), "ms", Bound::AtMost(64.0));
-    report.bounded("answered within both targets", goodput, "share", Bound::AtLeast(0.95));
-    report.bounded("cut answers", cut_answers(records) as f64, "requests", Bound::AtMost(0.0));
+    let first = complete.iter().filter_map(|record| record.first_token_ms);
+    let between = complete.iter().map(|record| record.mean_gap_ms()).collect();
+    [quantile(first.map(|ms| ms as f64).collect(), 0.95), quantile(between, 0.95)]
 }
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -284,6 +284,22 @@
         self.gateways.iter().map(|gateway| gateway.address().clone()).collect()
     }
 
+    /// Names of the engines in the document.
+    pub fn engine_names(&self) -> impl Iterator<Item = String> + '_ {
+        let engines = self.prefill.iter().chain(&self.decode);
+        engines.map(|engine| engine.name().to_string())
+    }
+
+    /// The process of the engine with this name.
+    pub fn engine(&self, name: &str) -> Option<&Process> {
+        self.prefill.iter().chain(&self.decode).find(|engine| engine.name() == name)
+    }
+
+    /// Slots of each decode endpoint.
+    pub fn slots(&self) -> u32 {
+        self.builder.slots
+    }
+
     pub fn directory(&self) -> &PathBuf {
         &self.directory
     }
--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -52,6 +52,27 @@
     "audit",
 ];
 
+/// What answers the requests of a load.
+#[allow(async_fn_in_trait)]
+pub trait Target: Clone + 'static {
+    /// Sends one request; `random` chooses among instances.
+    async fn complete(&self, prompt: &Prompt, random: u32) -> CallRecord;
+}
+
+/// The gateways, chosen as callers do.
+#[derive(Clone)]
+pub struct Gateways {
+    pub caller: Caller,
+    pub book: AddressBook,
+}
+
+impl Target for Gateways {
+    async fn complete(&self, prompt: &Prompt, random: u32) -> CallRecord {
+        let address = self.book.choose(random).await;
+        self.caller.complete(&address, prompt).await
+    }
+}
+
 /// Sends the streams' requests for a time and returns the records of all of them, once each has
 /// ended.
 pub async fn send_load(
@@ -60,14 +81,24 @@
     streams: &[Stream],
     length: Duration,
     seed: u64,
+) -> Vec<CallRecord> {
+    let gateways = Gateways { caller: caller.clone(), book: book.clone() };
+    send_load_to(&gateways, streams, length, seed).await
+}
+
+/// Sends the streams' requests to any target. The same seed gives the same requests.
+pub async fn send_load_to<T: Target>(
+    target: &T,
+    streams: &[Stream],
+    length: Duration,
+    seed: u64,
 ) -> Vec<CallRecord> {
     let records = Rc::new(RefCell::new(Vec::new()));
     let mut senders = JoinSet::new();
     for (i, stream) in streams.iter().enumerate() {
         let random = StdRng::seed_from_u64(seed ^ ((i as u64 + 1) << 32));
         senders.spawn_local(send_stream(
-            caller.clone(),
-            book.clone(),
+            target.clone(),
             stream.clone(),
             length,
             random,
@@ -78,9 +109,8 @@
     records.take()
 }
 
-async fn send_stream(
-    caller: Caller,
-    book: AddressBook,
+async fn send_stream<T: Target>(
+    target: T,
     stream: Stream,
     length: Duration,
     mut random: StdRng,
@@ -100,10 +130,9 @@
         number += 1;
         let prompt = draw_prompt(&stream, number, &mut random);
         let choice = random.random();
-        let (caller, book, records) = (caller.clone(), book.clone(), Rc::clone(&records));
+        let (target, records) = (target.clone(), Rc::clone(&records));
         requests.spawn_local(async move {
-            let address = book.choose(choice).await;
-            let record = caller.complete(&address, &prompt).await;
+            let record = target.complete(&prompt, choice).await;
             records.borrow_mut().push(record);
         });
         while requests.try_join_next().is_some() {}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,6 +2,7 @@
 //! checks from outside what callers got and what the stand-ins saw.
 
 mod address_book;
+mod baseline;
 mod bench_error;
 mod call_record;
 mod caller;
@@ -9,6 +10,7 @@
 mod fleet;
 mod fleet_document;
 mod load;
+mod occupancy;
 mod options;
 mod process;
 mod programs;
@@ -16,16 +18,20 @@
 pub mod check;
 pub mod demo;
 pub mod experiments;
+pub mod plot;
 pub mod report;
+pub mod timeline;
 
 pub use address_book::AddressBook;
+pub use baseline::RoundRobin;
 pub use bench_error::BenchError;
 pub use call_record::{CallRecord, Ending};
 pub use caller::{Caller, Prompt};
 pub use deployment::Deployment;
 pub use fleet::{Fleet, FleetBuilder};
 pub use fleet_document::{FleetDocument, PlacedEndpoint, key_of};
-pub use load::{Stream, draw_prompt, send_load};
+pub use load::{Gateways, Stream, Target, draw_prompt, send_load, send_load_to};
+pub use occupancy::{prefills, sample_occupancy};
 pub use options::Options;
 pub use process::Process;
 pub use programs::Programs;
--- a/src/bench/options.rs
+++ b/src/bench/options.rs
@@ -1,3 +1,4 @@
+use std::path::PathBuf;
 use std::time::Duration;
 
 use crate::bench::{Deployment, Programs};
@@ -11,4 +12,6 @@
     /// Length of the measured load.
     pub load: Duration,
     pub is_json: bool,
+    /// Where to write a plot of throughput and latency over time.
+    pub plot: Option<PathBuf>,
 }
--- a/src/bin/almondroad-bench.rs
+++ b/src/bin/almondroad-bench.rs
@@ -30,6 +30,7 @@
     --deployment NAME   association (default) or loomworks
     --seed N            seed of the load, 1 by default
     --seconds S         length of the load, 15 by default
+    --plot FILE         write an SVG of goodput and first-token p95 over time
     --json              print one JSON object a line
     -h, --help          print this text
     --version           print the version
@@ -84,6 +85,8 @@
     let seed = arguments.opt_value_from_str("--seed")?;
     let seconds: Option<f64> = arguments.opt_value_from_str("--seconds")?;
     let is_json = arguments.contains("--json");
+    let path = |path: &std::ffi::OsStr| Ok::<PathBuf, BenchError>(OsString::from(path).into());
+    let plot = arguments.opt_value_from_os_str("--plot", path)?;
     let name = arguments.free_from_str()?;
     if let Some(argument) = arguments.finish().first() {
         let cause = format!("unknown argument {}", argument.display());
@@ -95,6 +98,7 @@
         seed: seed.unwrap_or(1),
         load: Duration::from_secs_f64(seconds.unwrap_or(DEFAULT_LOAD_S).clamp(1.0, 600.0)),
         is_json,
+        plot,
     };
     Ok((name, options))
 }
