Learn prompt lengths for estimates of prefill and transfer time

Cause: gateways name an upper bound of the prompt, bytes / 2, about three times its tokens. The pool's owner took it for the time of prefill and transfer. By that estimate (100 ms a request on average) six prefill endpoints are nearly out of capacity at 59 requests/s, when their prefills take less than half as long, so requests wait in the queue.

Change: the owner learns for each organisation, from the memory that decode endpoints list for an attempt, how long prompts are relative to the bound. Only estimates use it; memory is reserved for the bound.

--- a/src/pool/admitting.rs
+++ b/src/pool/admitting.rs
@@ -29,7 +29,9 @@
         let (Some(model), Some(Ok(()))) = (&self.model, is_served) else {
             return Err(Blocked::NoEndpoint);
         };
-        let prefill_ms = Selection::prefill_ms(model, admission.prompt_tokens.get());
+        let tokens = admission.prompt_tokens.get();
+        let tokens = self.prompt_ratios.estimate(&admission.organisation, tokens);
+        let prefill_ms = Selection::prefill_ms(model, tokens);
         let is_long = prefill_ms >= Selection::LONG_PREFILL_MS;
         let weight = self.weight(&admission.organisation);
         let queue = &self.queues[admission.class as usize];
@@ -169,6 +171,7 @@
             admitted_at: now,
             named_at: now,
             output_tokens: Default::default(),
+            unmeasured_prompt: Some(request.prompt_tokens),
             prefix_hashes: request.prefix_hashes.clone(),
             prefill_cost: choice.prefill_ms as f64,
             cost_per_output_token: part * Reservation::MS_PER_OUTPUT_TOKEN,
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -21,6 +21,7 @@
 mod prefill_queue;
 mod prefix_index;
 mod progress;
+mod prompt_ratios;
 mod reconciliation;
 mod reservation;
 mod selection;
--- a/src/pool/pool_state.rs
+++ b/src/pool/pool_state.rs
@@ -7,6 +7,7 @@
 use crate::pool::endpoint_status::EndpointStatus;
 use crate::pool::fair_queue::FairQueue;
 use crate::pool::prefix_index::PrefixIndex;
+use crate::pool::prompt_ratios::PromptRatios;
 use crate::pool::reservation::Reservation;
 use crate::pool::selection::Selection;
 use crate::pool::waiter::Waiter;
@@ -26,6 +27,7 @@
     /// Attempts that ended recently. A report or list made before the end may still name them.
     pub(super) ended: HashMap<AttemptId, Instant>,
     pub(super) prefixes: PrefixIndex,
+    pub(super) prompt_ratios: PromptRatios,
     pub(super) nothing_freed_before: Instant,
     pub(super) queues: [FairQueue; 2],
     /// Interactive admissions since the last one of the waiting class, while one waited.
@@ -50,6 +52,7 @@
             orphans: HashMap::new(),
             ended: HashMap::new(),
             prefixes: PrefixIndex::default(),
+            prompt_ratios: PromptRatios::default(),
             nothing_freed_before: now.plus_ms(PoolState::SILENCE_MS),
             queues: Default::default(),
             interactive_streak: 0,
@@ -161,6 +164,7 @@
             model: self.model.as_ref()?,
             endpoints: &self.endpoints,
             prefixes: &self.prefixes,
+            prompt_ratios: &self.prompt_ratios,
             short_share: if all_ms > 0.0 { self.short_prefill_ms / all_ms } else { 0.0 },
             now,
         })
--- a/src/pool/reconciliation.rs
+++ b/src/pool/reconciliation.rs
@@ -159,6 +159,7 @@
             admitted_at: now,
             named_at: now,
             output_tokens: progress.output_tokens,
+            unmeasured_prompt: None,
             prefix_hashes: Vec::new(),
             prefill_cost: 0.0,
             cost_per_output_token: 0.0,
@@ -204,6 +205,7 @@
         sent_at: Instant,
         now: Instant,
     ) -> Vec<AttemptId> {
+        self.measure_prompts(id, held);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return Vec::new() };
         let mut cancels = Vec::new();
         for HeldAttempt { attempt, pieces } in held {
@@ -241,6 +243,22 @@
         cancels
     }
 
+    /// Learns from the memory that attempts take how long their prompts are. An engine may hold
+    /// memory for the whole answer already, so this is an upper bound.
+    fn measure_prompts(&mut self, decode: &EndpointId, held: &[HeldAttempt]) {
+        let Some(model) = &self.model else { return };
+        for HeldAttempt { attempt, pieces } in held {
+            let Some(reservation) = self.reservations.get_mut(attempt) else { continue };
+            if reservation.decode != *decode || reservation.prefill == *decode {
+                continue;
+            }
+            let Some(bound) = reservation.unmeasured_prompt.take() else { continue };
+            let held_tokens = pieces.get().saturating_mul(model.tokens_per_piece.get());
+            let tokens = held_tokens.saturating_sub(reservation.output_tokens.get());
+            self.prompt_ratios.observe(&reservation.organisation, bound.get(), tokens);
+        }
+    }
+
     /// Whether the attempt is still to be cancelled: a report may have named it since.
     pub fn may_cancel(&self, attempt: &AttemptId) -> bool {
         !self.reservations.contains_key(attempt)
--- a/src/pool/reservation.rs
+++ b/src/pool/reservation.rs
@@ -15,6 +15,8 @@
     /// Last time that a report named the attempt, or its admission.
     pub named_at: Instant,
     pub output_tokens: Tokens,
+    /// Upper bound of the prompt, until an engine's list has shown the memory that it takes.
+    pub unmeasured_prompt: Option<Tokens>,
     pub prefix_hashes: Vec<u64>,
     /// Cost without output.
     pub prefill_cost: f64,
--- a/src/pool/selection.rs
+++ b/src/pool/selection.rs
@@ -6,6 +6,7 @@
 use crate::pool::endpoint_ledger::EndpointLedger;
 use crate::pool::link::Link;
 use crate::pool::prefix_index::PrefixIndex;
+use crate::pool::prompt_ratios::PromptRatios;
 use crate::units::{EndpointId, Pieces, ZoneId};
 
 /// Selects the prefill and decode pair for a request.
@@ -13,6 +14,7 @@
     pub model: &'a Model,
     pub endpoints: &'a BTreeMap<EndpointId, EndpointLedger>,
     pub prefixes: &'a PrefixIndex,
+    pub prompt_ratios: &'a PromptRatios,
     /// Part of the recent prefill work that came from short prompts.
     pub short_share: f64,
     pub now: Instant,
@@ -161,7 +163,7 @@
             return None;
         }
         let ends_at = starts_at.plus_ms(prefill_ms);
-        let bytes = request.prompt_tokens.get().saturating_mul(self.model.kv_bytes_per_token);
+        let bytes = self.prompt_tokens(request).saturating_mul(self.model.kv_bytes_per_token);
         let (rate, transfer_ms) = Link::transfer_between(&prefill.link, &decode.link, bytes);
         let transfer_starts_at =
             Link::earliest_start(&prefill.link, &decode.link, ends_at, rate, transfer_ms);
@@ -189,11 +191,16 @@
         })
     }
 
+    /// Expected tokens of the prompt. Memory is reserved for the upper bound.
+    fn prompt_tokens(&self, request: &Admission) -> u64 {
+        self.prompt_ratios.estimate(&request.organisation, request.prompt_tokens.get())
+    }
+
     /// Tokens to compute. The request's hashes are taken to be of equal parts of the prompt.
     fn uncached(&self, request: &Admission, endpoint: &EndpointId) -> u64 {
         let hashes = &request.prefix_hashes;
         let hits = self.prefixes.hits(&request.organisation, hashes, endpoint, self.now) as u64;
-        let tokens = request.prompt_tokens.get();
+        let tokens = self.prompt_tokens(request);
         // The last token is always computed.
         (tokens - tokens * hits / (hashes.len() as u64).max(1)).max(1)
     }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -419,3 +419,32 @@
     })
     .await;
 }
+
+/// Guards against estimates that stay at the gateways' upper bound of the prompt, and against
+/// reserving less memory than that bound.
+#[tokio::test(start_paused = true)]
+async fn prompt_lengths_are_learned_for_estimates_but_not_for_memory() {
+    local(async {
+        let owner = Owner::start(&document(SMALL, &[]), &Engines::default()).await;
+        let mut limits_ms = Vec::new();
+        for sequence in 0..40 {
+            let mut request = admission("g", sequence, "o");
+            request.prompt_tokens = Tokens(90);
+            let plan = owner.run(request.clone()).await;
+            limits_ms.push(plan.transfer_limit_ms);
+            assert_eq!(owner.status("d0").used_pieces, Pieces(10));
+            // The prompt has a third of the tokens that its bytes allow.
+            owner.engine("d0").held.borrow_mut().insert(request.attempt.clone(), Pieces(4));
+            sleep_ms(1100).await;
+            owner.engine("d0").held.borrow_mut().clear();
+            owner.finish(&request.attempt, AttemptEnd::Completed, None);
+        }
+        // Three times the transfer's time and 100 ms: 90 ms by the bound, 40 ms by the memory.
+        assert_eq!(limits_ms[0], 370);
+        assert!(limits_ms[39] <= 100 + 3 * 45, "{limits_ms:?}");
+        let mut other = admission("g", 99, "other");
+        other.prompt_tokens = Tokens(90);
+        assert_eq!(owner.run(other).await.transfer_limit_ms, 370);
+    })
+    .await;
+}
