Add experiments of the request path under failure

Cause: no experiment checked from outside that refusals are true, that repeats are answered once and that callers get whole answers when connections go silent, streams are crossed or cut, callers leave, engines crash or plain services fail.

Change: the engine's stand-in counts prefills, decodes and completions by prompt, and check_invariants uses it in all experiments: a prompt that was only ever refused as `not_run` never reached an engine, and a request id has at most one whole answer. Fleets can restart a stand-in on its address.

--- a/src/bench/call_record.rs
+++ b/src/bench/call_record.rs
@@ -4,6 +4,7 @@
 #[derive(Clone, Debug)]
 pub struct CallRecord {
     pub organisation: SmolStr,
+    pub request_id: Option<SmolStr>,
     pub prompt: String,
     pub max_tokens: u64,
     /// Since the experiment began.
--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -75,6 +75,7 @@
     pub async fn complete(&self, address: &SmolStr, prompt: &Prompt) -> CallRecord {
         let mut record = CallRecord {
             organisation: prompt.organisation.clone(),
+            request_id: prompt.request_id.clone(),
             prompt: prompt.text.clone(),
             max_tokens: prompt.max_tokens,
             sent_at_ms: self.elapsed_ms(),
--- a/src/bench/check.rs
+++ b/src/bench/check.rs
@@ -1,9 +1,11 @@
 //! Checks from outside: what callers got and what the stand-ins saw.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::bench::report::Bound;
 use crate::bench::{BenchError, CallRecord, Ending, Fleet, Report};
+use crate::hash::stable_hash;
 use crate::standin::{EngineStats, PlainStats, expected_length, expected_token};
 
 /// Memory must be free this long after the last request's end.
@@ -28,7 +30,7 @@
 }
 
 /// Adds the bounds that hold for every experiment: whole answers, true refusals, no leaked key,
-/// no memory held.
+/// no repeated answer, no memory held.
 pub async fn check_invariants(
     fleet: &Fleet,
     records: &[CallRecord],
@@ -49,12 +51,17 @@
     report.bounded("answers not whole or spliced", wrong.len() as f64, "requests", none);
     check_memory(fleet, report).await;
     let mut leaked = 0;
+    let mut seen_prompts = BTreeSet::new();
     for engine in fleet.prefill.iter().chain(&fleet.decode) {
         // A stand-in that an experiment killed has no statistics.
         if let Ok(stats) = fleet.stats::<EngineStats>(engine).await {
             leaked += stats.secrets.with_secret;
+            seen_prompts.extend(stats.prompts.into_keys());
         }
     }
+    let false_refusals = count_false_refusals(records, &seen_prompts);
+    report.bounded("refused as not run but run", false_refusals as f64, "requests", none);
+    report.bounded("answered twice", answered_twice(records) as f64, "requests", none);
     for service in &fleet.plain {
         if let Ok(stats) = fleet.stats::<PlainStats>(service).await {
             leaked += stats.secrets.with_secret;
@@ -64,6 +71,29 @@
     Ok(())
 }
 
+/// Prompts that an engine saw although each of their requests was refused as not run.
+fn count_false_refusals(records: &[CallRecord], seen_prompts: &BTreeSet<u64>) -> usize {
+    let mut never_run: BTreeMap<&str, bool> = BTreeMap::new();
+    for record in records {
+        let is_not_run =
+            matches!(&record.ending, Ending::Refused { outcome, .. } if outcome == "not_run");
+        *never_run.entry(&record.prompt).or_insert(true) &= is_not_run;
+    }
+    let is_false = |prompt: &str| seen_prompts.contains(&stable_hash(prompt));
+    never_run.iter().filter(|(prompt, never_run)| **never_run && is_false(prompt)).count()
+}
+
+/// Request ids under which callers got more than one whole answer.
+fn answered_twice(records: &[CallRecord]) -> usize {
+    let mut answers: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.is_complete()) {
+        if let Some(request) = &record.request_id {
+            *answers.entry((&record.organisation, request)).or_default() += 1;
+        }
+    }
+    answers.values().filter(|count| **count > 1).count()
+}
+
 /// Waits up to the limit for the engines to hold nothing.
 pub async fn check_memory(fleet: &Fleet, report: &mut Report) {
     let deadline = tokio::time::Instant::now() + RELEASE_LIMIT;
--- /dev/null
+++ b/src/bench/experiments/crossed.rs
@@ -0,0 +1,48 @@
+use crate::bench::check::{check_invariants, cut_answers};
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::{
+    AddressBook, BenchError, Caller, FleetBuilder, Options, Report, Stream, send_load,
+};
+use crate::standin::EngineFaults;
+
+const REQUESTS_PER_S: f64 = 4.0;
+
+/// Engines send events of other attempts, repeat events, answer late and cut their streams.
+pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
+    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
+        .gateways(3)
+        .engines(2, 4)
+        .plain_services(1)
+        .slices(2)
+        .start()
+        .await?;
+    for (i, engine) in fleet.decode.iter().enumerate() {
+        let i = i as u64;
+        let faults = EngineFaults {
+            cross_every: 2 + i,
+            duplicate_every: 3 + i,
+            cut_after_tokens: Some(10 + 5 * i),
+            delay_ms: 5 * i,
+            ..EngineFaults::default()
+        };
+        fleet.set_faults(engine, &faults).await?;
+    }
+    let organisations = options.deployment.organisations();
+    let streams = [
+        Stream::new(organisations[0], REQUESTS_PER_S),
+        Stream::new(organisations[1], REQUESTS_PER_S),
+    ];
+    let caller = Caller::default();
+    let book = AddressBook::new(fleet.addresses());
+    let records = send_load(&caller, &book, &streams, options.load, options.seed).await;
+    for record in records.iter().filter(|record| !record.is_complete()).take(5) {
+        let tokens = record.output_tokens;
+        report.progress(&format!("after {tokens} tokens: {:?}", record.ending));
+    }
+    let incomplete = records.iter().filter(|record| !record.is_complete()).count();
+    let none = Bound::AtMost(0.0);
+    report.value(PRODUCT, "requests", records.len() as f64, "requests");
+    report.bounded("not answered", incomplete as f64, "requests", none);
+    report.bounded("cut answers", cut_answers(&records) as f64, "requests", none);
+    check_invariants(&fleet, &records, report).await
+}
--- /dev/null
+++ b/src/bench/experiments/poison.rs
@@ -0,0 +1,169 @@
+use std::cell::Cell;
+use std::time::Duration;
+
+use smol_str::format_smolstr;
+use tokio::time::sleep;
+
+use crate::bench::check::{check_invariants, cut_answers};
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::{
+    AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, FleetBuilder, Options, Process,
+    Prompt, Report, Stream, send_load,
+};
+use crate::standin::EngineSettings;
+
+const REQUESTS_PER_S: f64 = 2.0;
+const MAX_TOKENS: u64 = 60;
+/// Times that the caller sends the prompt that crashes endpoints.
+const REPEATS: usize = 8;
+/// The caller hardly waits, so that the gateways have little time to tell each other.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
+/// The platform restarts a process after this time.
+const RESTART_DELAY: Duration = Duration::from_millis(1_000);
+const POLL: Duration = Duration::from_millis(20);
+const NEIGHBOURS_REPEATED: usize = 30;
+
+/// A prompt that crashes each engine that runs it, sent again and again through all gateways.
+pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
+    let mut fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
+        .gateways(3)
+        .engines(2, 4)
+        .plain_services(1)
+        .slices(2)
+        .start()
+        .await?;
+    let organisations = options.deployment.organisations();
+    let streams = [
+        Stream::new(organisations[0], REQUESTS_PER_S),
+        Stream::new(organisations[1], REQUESTS_PER_S),
+    ];
+    let caller = Caller::default();
+    let book = AddressBook::new(fleet.addresses());
+    let addresses = fleet.addresses();
+    let is_over = Cell::new(false);
+    let lost = Cell::new((0, 0));
+    let words = EngineSettings::default();
+    let callers = async {
+        let load = send_load(&caller, &book, &streams, options.load, options.seed);
+        let poison = async {
+            sleep(options.load / 4).await;
+            let decode =
+                send_poison(&caller, &addresses, organisations[2], &words.crash_decode_word).await;
+            sleep(options.load / 4).await;
+            let prefill =
+                send_poison(&caller, &addresses, organisations[2], &words.crash_prefill_word).await;
+            (decode, prefill)
+        };
+        let ended = tokio::join!(load, poison);
+        is_over.set(true);
+        ended
+    };
+    let ((mut records, poison), restarted) =
+        tokio::join!(callers, restart_engines(&mut fleet, &is_over, &lost));
+    restarted?;
+    let (decode, prefill) = poison;
+    let (lost_prefill, lost_decode) = lost.get();
+    report_poison("decode", &decode, lost_decode, report);
+    report_poison("prefill", &prefill, lost_prefill, report);
+    report_neighbours(&caller, &book, &records, report).await;
+    records.extend(decode);
+    records.extend(prefill);
+    check_invariants(&fleet, &records, report).await
+}
+
+async fn send_poison(
+    caller: &Caller,
+    addresses: &[smol_str::SmolStr],
+    organisation: &str,
+    word: &str,
+) -> Vec<CallRecord> {
+    let mut records = Vec::new();
+    for i in 0..REPEATS {
+        let text = format!("adjust the hem of this suit {word} and pin it");
+        let mut prompt = Prompt::new(organisation, text, MAX_TOKENS);
+        prompt.request_id = Some(format_smolstr!("poison-{word}-{i}"));
+        records.push(caller.complete(&addresses[i % addresses.len()], &prompt).await);
+        sleep(REPEAT_DELAY).await;
+    }
+    records
+}
+
+/// Restarts crashed engines on their addresses, and counts the crashes of prefill and of decode
+/// engines.
+async fn restart_engines(
+    fleet: &mut Fleet,
+    is_over: &Cell<bool>,
+    lost: &Cell<(u32, u32)>,
+) -> Result<(), BenchError> {
+    while !is_over.get() {
+        sleep(POLL).await;
+        let (prefill, decode) = lost.get();
+        if let Some(index) = find_ended(&mut fleet.prefill) {
+            lost.set((prefill + 1, decode));
+            sleep(RESTART_DELAY).await;
+            fleet.prefill[index] = fleet.restart_standin(&fleet.prefill[index], "engine").await?;
+        } else if let Some(index) = find_ended(&mut fleet.decode) {
+            lost.set((prefill, decode + 1));
+            sleep(RESTART_DELAY).await;
+            fleet.decode[index] = fleet.restart_standin(&fleet.decode[index], "engine").await?;
+        }
+    }
+    Ok(())
+}
+
+fn find_ended(engines: &mut [Process]) -> Option<usize> {
+    engines.iter_mut().position(Process::has_ended)
+}
+
+fn is_blamed(record: &CallRecord) -> bool {
+    let (Ending::Refused { code, .. } | Ending::Cut { code }) = &record.ending else {
+        return false;
+    };
+    code == "request_crashes_endpoints"
+}
+
+fn report_poison(role: &str, records: &[CallRecord], lost: u32, report: &mut Report) {
+    let endings: Vec<_> = records.iter().map(|record| &record.ending).collect();
+    report.progress(&format!("{role}: {endings:?}"));
+    let refused = |record: &CallRecord| {
+        let status = 422;
+        is_blamed(record)
+            && matches!(record.ending, Ending::Refused { status: s, .. } if s == status)
+    };
+    let is_refused = records.last().is_some_and(refused);
+    let metric = format!("endpoints lost to a {role} poison");
+    report.bounded(&metric, f64::from(lost), "endpoints", Bound::AtMost(2.0));
+    let metric = format!("{role} poison refused in the end");
+    report.bounded(&metric, f64::from(u8::from(is_refused)), "requests", Bound::AtLeast(1.0));
+}
+
+/// Requests that ran alongside are answered whole, and again when they are sent again.
+async fn report_neighbours(
+    caller: &Caller,
+    book: &AddressBook,
+    records: &[CallRecord],
+    report: &mut Report,
+) {
+    for record in records.iter().filter(|record| !record.is_complete()).take(5) {
+        report.progress(&format!("neighbour at {} ms: {:?}", record.sent_at_ms, record.ending));
+    }
+    let incomplete = records.iter().filter(|record| !record.is_complete()).count();
+    let none = Bound::AtMost(0.0);
+    report.value(PRODUCT, "neighbours", records.len() as f64, "requests");
+    report.bounded("neighbours not answered", incomplete as f64, "requests", none);
+    report.bounded("neighbours cut", cut_answers(records) as f64, "requests", none);
+    let repeats = records.iter().take(NEIGHBOURS_REPEATED).enumerate().map(|(i, record)| {
+        let mut prompt = Prompt::new(record.organisation.clone(), &record.prompt, 8);
+        prompt.request_id = Some(format_smolstr!("neighbour-again-{i}"));
+        async move {
+            let address = book.choose(i as u32 * 331).await;
+            caller.complete(&address, &prompt).await
+        }
+    });
+    let again = futures::future::join_all(repeats).await;
+    for record in again.iter().filter(|record| !record.is_complete()).take(5) {
+        report.progress(&format!("neighbour again: {:?}", record.ending));
+    }
+    let blamed = again.iter().filter(|record| is_blamed(record)).count();
+    report.bounded("neighbours refused afterwards", blamed as f64, "requests", none);
+}
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -96,6 +96,11 @@
         self
     }
 
+    pub fn plain(mut self, change: impl FnOnce(&mut PlainSettings)) -> FleetBuilder {
+        change(&mut self.plain);
+        self
+    }
+
     /// Rate and burst of each organisation, in the deployment's order.
     pub fn rates(mut self, rates: Vec<(u64, u64)>) -> FleetBuilder {
         self.rates = rates;
@@ -296,6 +301,25 @@
         Ok(())
     }
 
+    /// Starts a stand-in that has ended again, with its settings and on its address, as the
+    /// platform does. `command` is `engine` or `plain`.
+    pub async fn restart_standin(
+        &self,
+        ended: &Process,
+        command: &str,
+    ) -> Result<Process, BenchError> {
+        let file = self.directory.join(format!("{}.json", ended.name()));
+        let arguments: Vec<OsString> = vec![
+            command.into(),
+            "--settings".into(),
+            file.into(),
+            "--listen".into(),
+            ended.address().as_str().into(),
+        ];
+        let log = self.directory.join(format!("{}.log", ended.name()));
+        Process::start(ended.name(), &self.builder.programs.standin, arguments, &log).await
+    }
+
     /// Sets the faults of a stand-in.
     pub async fn set_faults(
         &self,
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -85,6 +85,11 @@
         self.child.wait().await.ok()?.code()
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = self.child.id().and_then(|id| Pid::from_raw(id as i32));
         if let Some(pid) = pid
--- a/src/standin/engine/decode.rs
+++ b/src/standin/engine/decode.rs
@@ -86,6 +86,7 @@
         };
         state.decodes.insert(request.attempt.clone(), decode);
         state.stats.attempt(&request.attempt).decodes += 1;
+        state.stats.prompt(prompt_hash).decodes += 1;
         Ok(())
     }
 
@@ -195,7 +196,7 @@
             decode.progress.send_replace(progress);
             crashes |= decode.crashes && progress.generated >= self.settings.crash_after_tokens;
             if progress.ended {
-                ended.push(attempt.clone());
+                ended.push((attempt.clone(), decode.answer.prompt_hash));
             }
         }
         state.stats.output_tokens += stepped.len() as u64;
@@ -203,9 +204,10 @@
         for attempt in &stepped {
             state.stats.attempt(attempt).tokens += 1;
         }
-        for attempt in &ended {
+        for (attempt, prompt_hash) in &ended {
             state.end_decode(attempt);
             state.stats.attempt(attempt).completed += 1;
+            state.stats.prompt(*prompt_hash).completed += 1;
         }
         if crashes {
             self.crash();
--- a/src/standin/engine/prefill.rs
+++ b/src/standin/engine/prefill.rs
@@ -61,6 +61,7 @@
             return Err(full());
         }
         state.stats.attempt(&request.attempt).prefills += 1;
+        state.stats.prompt(stable_hash(&request.prompt)).prefills += 1;
         if !generated_is_expected(request) {
             state.stats.wrong_generated += 1;
         }
--- a/src/standin/engine/stats.rs
+++ b/src/standin/engine/stats.rs
@@ -21,11 +21,21 @@
     pub completed: u64,
 }
 
+/// What the engine did for all attempts with one prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PromptCounts {
+    pub prefills: u64,
+    pub decodes: u64,
+    pub completed: u64,
+}
+
 /// What an engine's stand-in did since its start.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineStats {
     pub secrets: SecretStats,
     pub attempts: BTreeMap<AttemptId, AttemptCounts>,
+    /// By `stable_hash` of the prompt.
+    pub prompts: BTreeMap<u64, PromptCounts>,
     pub prefills: u64,
     pub prefills_expired: u64,
     pub cached_tokens: u64,
@@ -54,4 +64,10 @@
         }
         self.attempts.entry(attempt.clone()).or_default()
     }
+    pub(super) fn prompt(&mut self, prompt_hash: u64) -> &mut PromptCounts {
+        if self.prompts.len() >= KEPT_ATTEMPTS && !self.prompts.contains_key(&prompt_hash) {
+            self.prompts.pop_first();
+        }
+        self.prompts.entry(prompt_hash).or_default()
+    }
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -15,7 +15,8 @@
 
 pub use command::run_standin;
 pub use engine::{
-    AttemptCounts, EngineFaults, EngineRole, EngineSettings, EngineStats, start_engine,
+    AttemptCounts, EngineFaults, EngineRole, EngineSettings, EngineStats, PromptCounts,
+    start_engine,
 };
 pub use expected::{expected_length, expected_token, prefix_hashes, prompt_tokens};
 pub use launch::Standin;
