--- a/src/bench/call_record.rs
+++ b/src/bench/call_record.rs
@@ -8,6 +8,7 @@
     pub organisation: SmolStr,
     /// Address of the instance that was asked.
     pub address: SmolStr,
+    pub request_id: Option<SmolStr>,
     pub prompt: String,
     pub max_tokens: u64,
     /// Since the experiment began.
@@ -44,6 +45,7 @@
         CallRecord {
             organisation: prompt.organisation.clone(),
             address,
+            request_id: prompt.request_id.clone(),
             prompt: prompt.text.clone(),
             max_tokens: prompt.max_tokens,
             sent_at_ms,
--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -1,47 +1,73 @@
 //! The experiments, one a file. Each starts its own fleet and ends by itself.
 
+mod cancel;
 mod cold;
+mod crossed;
 mod flood;
 mod halve;
 mod measured;
 mod peak;
-mod slopes;
+mod poison;
 mod removal;
+mod reorder;
+mod service_call;
+mod silent;
+mod slopes;
 mod zone;
 
 use crate::bench::plot::plot;
-use crate::bench::{BenchError, Options, Report};
+use crate::bench::{BenchError, CallRecord, Options, Report};
 
 /// Name and purpose of each experiment.
-pub const EXPERIMENTS: [(&str, &str); 5] = [
+pub const EXPERIMENTS: &[(&str, &str)] = &[
     ("peak", "load near the engines' capacity: goodput and latency targets"),
-    ("slopes-idle", "cost of an idle instance against the number of instances"),
-    ("slopes-document", "memory and CPU against organisations and endpoints, cost of a change"),
-    ("slopes-requests", "CPU per request and token, added latency"),
-    ("slopes-calls", "table rows per at-most-once call, cost of a draw"),
     ("flood", "one organisation sends five times its rate"),
     ("zone", "an availability zone leaves under load and returns"),
     ("halve", "half of the endpoints leave under load and return"),
     ("cold", "decode endpoints turn cold without notice"),
+    ("poison", "a prompt that crashes engines, sent again and again"),
+    ("silent", "open connections of engines and platform go silent"),
+    ("crossed", "engines send events of other attempts, repeat events and cut streams"),
+    ("cancel", "callers go away and gateways are killed"),
+    ("reorder", "calls that run at most once while every part fails"),
+    ("slopes-idle", "cost of an idle instance against the number of instances"),
+    ("slopes-document", "memory and CPU against organisations and endpoints, cost of a change"),
+    ("slopes-requests", "CPU per request and token, added latency"),
+    ("slopes-calls", "table rows per at-most-once call, cost of a draw"),
 ];
 
 /// Runs the named experiment and adds its metrics to a report.
 pub async fn run(name: &str, options: &Options) -> Result<Report, BenchError> {
     let mut report = Report::new(name, options.seed, options.is_json);
-    let records = match name {
-        "peak" => peak::run(options, &mut report).await?,
-        "slopes-idle" => slopes::idle::run(options, &mut report).await?,
-        "slopes-document" => slopes::document::run(options, &mut report).await?,
-        "slopes-requests" => slopes::requests::run(options, &mut report).await?,
-        "slopes-calls" => slopes::calls::run(options, &mut report).await?,
-        "flood" => flood::run(options, &mut report).await?,
-        "zone" => zone::run(options, &mut report).await?,
-        "halve" => halve::run(options, &mut report).await?,
-        "cold" => cold::run(options, &mut report).await?,
-        _ => return Err(BenchError::UnknownExperiment { name: name.into() }),
-    };
+    let records = run_named(name, options, &mut report).await?;
     if let Some(path) = &options.plot {
         plot(path, name, &records)?;
     }
     Ok(report)
 }
+
+/// Returns the records that a plot shows, if the experiment has any.
+async fn run_named(
+    name: &str,
+    options: &Options,
+    report: &mut Report,
+) -> Result<Vec<CallRecord>, BenchError> {
+    match name {
+        "peak" => return peak::run(options, report).await,
+        "flood" => return flood::run(options, report).await,
+        "zone" => return zone::run(options, report).await,
+        "halve" => return halve::run(options, report).await,
+        "cold" => return cold::run(options, report).await,
+        "poison" => poison::run(options, report).await?,
+        "silent" => silent::run(options, report).await?,
+        "crossed" => crossed::run(options, report).await?,
+        "cancel" => cancel::run(options, report).await?,
+        "reorder" => reorder::run(options, report).await?,
+        "slopes-idle" => slopes::idle::run(options, report).await?,
+        "slopes-document" => slopes::document::run(options, report).await?,
+        "slopes-requests" => slopes::requests::run(options, report).await?,
+        "slopes-calls" => slopes::calls::run(options, report).await?,
+        _ => return Err(BenchError::UnknownExperiment { name: name.into() }),
+    }
+    Ok(Vec::new())
+}
--- a/src/bin/almondroad-bench.rs
+++ b/src/bin/almondroad-bench.rs
@@ -81,7 +81,7 @@
     let seed = arguments.opt_value_from_str("--seed")?;
     let seconds: Option<f64> = arguments.opt_value_from_str("--seconds")?;
     let is_json = arguments.contains("--json");
-    let path = |path: &std::ffi::OsStr| Ok::<PathBuf, BenchError>(OsString::from(path).into());
+    let path = |path: &std::ffi::OsStr| Ok::<_, BenchError>(std::path::PathBuf::from(path));
     let plot = arguments.opt_value_from_os_str("--plot", path)?;
     let name = arguments.free_from_str()?;
     if let Some(argument) = arguments.finish().first() {
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -4,11 +4,11 @@
 use serde::Deserialize;
 use smol_str::SmolStr;
 
-use crate::settings::{LogSettings, TlsSettings};
 use crate::settings::values::{
     addresses_ttl, body_bytes, host_and_port, listen_address, queue_wait, request_count,
     request_timeout,
 };
+use crate::settings::{LogSettings, TlsSettings};
 use crate::units::{InstanceId, RegionId, ZoneId};
 
 /// Settings of the gateway. Everything else is in the configuration document.
