--- a/src/cmd/edit.rs
+++ b/src/cmd/edit.rs
@@ -11,7 +11,7 @@
 pub(super) const USAGE: &str = "\
 usage: almondroad edit SECTION
 
-Opens a section in $EDITOR and puts the result. If the put is refused, the edited text stays in
+Opens a section in $EDITOR, which may hold arguments, and puts the result. If the put is refused, the edited text stays in
 a file, which the error names.
 ";
 
@@ -24,7 +24,10 @@
     let gateway = Gateway::of(options)?;
     let read = gateway.get_text(Some(&section)).await?;
     let path = write_draft(&section, &read.text)?;
-    let status = Command::new(&editor).arg(path.as_str()).status();
+    // The variable may hold arguments too, such as `code --wait`.
+    let mut words = editor.split_whitespace();
+    let program = words.next().unwrap_or_default();
+    let status = Command::new(program).args(words).arg(path.as_str()).status();
     if !status.is_ok_and(|status| status.success()) {
         return Err(CmdError::Editor { path });
     }
--- a/tests/cmd_edit.rs
+++ b/tests/cmd_edit.rs
@@ -63,6 +63,7 @@
     address: String,
     net: Rc<Net>,
     lag: Rc<Cell<u64>>,
+    editor: &'static str,
     _stop: watch::Sender<bool>,
 }
 
@@ -85,7 +86,7 @@
         let admin = Admin::new(Rc::clone(&config));
         let handler = Rc::new(AdminHandler { admin, config, lag: Rc::clone(&lag) });
         spawn_local(serve(listener, handler, stopped));
-        Service { address, net, lag, _stop: stop }
+        Service { address, net, lag, editor: "false", _stop: stop }
     }
 
     fn config(&self) -> Rc<Config> {
@@ -101,7 +102,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_almondroad"));
         command.args(["--gateway", &self.address]).args(arguments);
         command.env("ALMONDROAD_CREDENTIAL", format!("example-loomworks-{team}"));
-        command.env("EDITOR", "false").env("TMPDIR", env!("CARGO_TARGET_TMPDIR"));
+        command.env("EDITOR", self.editor).env("TMPDIR", env!("CARGO_TARGET_TMPDIR"));
         let output = spawn_blocking(move || command.output().unwrap()).await.unwrap();
         Printed {
             code: output.status.code().unwrap(),
@@ -243,11 +244,12 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// Guards against refusals that show the credential, have no next step or take effect anyway.
+/// Guards against refusals that show the credential, have no next step or take effect anyway, and
+/// against an editor with arguments that is not found.
 #[tokio::test]
 async fn refusals_name_the_next_step_and_no_credential() {
     let test = async {
-        let service = Service::start().await;
+        let mut service = Service::start().await;
         let bad = file("bad-rates", "{ \"sea-island\": {} }");
         let stranger = service.run("strangers", &["get"]).await;
         insta::assert_snapshot!(stranger.err, @"
@@ -266,6 +268,9 @@
         Nothing was changed. Lines count from the start of the document with your text in place. Correct the text and put it again.
         ");
         let editor = service.run("customers", &["edit", "rates"]).await;
+        service.editor = "true --wait";
+        let unchanged = service.run("customers", &["edit", "rates"]).await;
+        assert_eq!((unchanged.code, unchanged.out.as_str()), (0, "nothing was changed\n"));
         assert!(editor.err.contains("Set EDITOR"), "{}", editor.err);
         service.net.stores()[0].faults.down.set(true);
         let down = service.run("platform", &["zone", "out", "jm-south-a"]).await;
