Find positions in large documents without searching from the start

Cause: each finding of a check counted lines from the start of the text and searched its member through all members of the section, so that the time grew with the square of the document. With 11,000 organisations of which each had a finding, an edit did not answer within 5 s, and a check of seconds on the only thread costs an instance its leases. A profile of an instance (perf record) showed 84% of its CPU in these searches.

Change: line starts are found once, members of a searched object by hash.

Conclusion: the time of a check grows with the document.

--- a/src/jsonc/positions.rs
+++ b/src/jsonc/positions.rs
@@ -1,7 +1,8 @@
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::ops::Range;
 
-use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 
 use crate::jsonc::JsoncError;
@@ -18,11 +19,17 @@
 pub struct Positions<'a> {
     text: &'a str,
     root: Option<Value<'a>>,
+    line_starts: Vec<usize>,
+    /// Places of members in objects that were searched, by the object's start: a document may
+    /// have a finding for each of thousands of members.
+    places: RefCell<HashMap<usize, HashMap<String, usize>>>,
 }
 
 impl<'a> Positions<'a> {
     pub fn parse(text: &'a str) -> Result<Positions<'a>, JsoncError> {
-        Ok(Positions { text, root: parse(text)? })
+        let line_ends = text.match_indices('\n').map(|(end, _)| end + 1);
+        let line_starts = std::iter::once(0).chain(line_ends).collect();
+        Ok(Positions { text, root: parse(text)?, line_starts, places: RefCell::default() })
     }
 
     /// Byte range of the top-level value.
@@ -33,7 +40,27 @@
     /// An error at the value that `path` leads to, or at the innermost value on the path that
     /// exists. A member is reported at its name.
     pub fn error_at(&self, path: &[Step], message: impl Into<String>) -> JsoncError {
-        JsoncError::at_offset(self.text, self.offset(path), message)
+        self.at_offset(self.offset(path), message)
+    }
+
+    fn at_offset(&self, offset: usize, message: impl Into<String>) -> JsoncError {
+        let line = self.line(offset);
+        let column = self.text[self.line_starts[line - 1]..offset].chars().count() + 1;
+        JsoncError { line, column, message: message.into() }
+    }
+
+    fn line(&self, offset: usize) -> usize {
+        self.line_starts.partition_point(|start| *start <= offset)
+    }
+
+    /// The first member of that name.
+    fn member<'v>(&self, object: &'v Object<'a>, name: &str) -> Option<&'v ObjectProp<'a>> {
+        let mut places = self.places.borrow_mut();
+        let places = places.entry(object.range.start).or_insert_with(|| {
+            let members = object.properties.iter().enumerate().rev();
+            members.map(|(place, member)| (member.name.as_str().to_owned(), place)).collect()
+        });
+        object.properties.get(*places.get(name)?)
     }
 
     fn offset(&self, path: &[Step]) -> usize {
@@ -41,12 +68,10 @@
         let mut offset = value.range().start;
         for step in path {
             let next = match (step, value) {
-                (Step::Member(name), Value::Object(object)) => {
-                    object.properties.iter().find(|p| p.name.as_str() == *name).map(|p| {
-                        offset = p.range.start;
-                        &p.value
-                    })
-                }
+                (Step::Member(name), Value::Object(object)) => self.member(object, name).map(|p| {
+                    offset = p.range.start;
+                    &p.value
+                }),
                 (Step::Index(index), Value::Array(array)) => {
                     array.elements.get(*index).inspect(|element| offset = element.range().start)
                 }
@@ -86,9 +111,9 @@
         for property in &object.properties {
             let name = property.name.as_str();
             if let Some(first) = seen.insert(name, property.range.start) {
-                let line = JsoncError::at_offset(self.text, first, "").line;
+                let line = self.line(first);
                 let message = format!("{name}: the name is already used on line {line}");
-                errors.push(JsoncError::at_offset(self.text, property.range.start, message));
+                errors.push(self.at_offset(property.range.start, message));
             }
         }
     }
