Resume requests over silent, cut and crashed endpoints

Causes found by the experiments and by tests/caller.rs: - a prefill on a silent connection waited for its own timeout of 30 s; calls to engines and starts of decodes that timed out left the other silent connections in the pool - a silence of 1.5 s of all streams made the pool's owner take engines for cold ones - a stream that kept making progress was cut after two reconnections and four attempts - a resumed request queued under the queue deadline of its first attempt, which had passed, and avoided endpoints for good - until the next heartbeat other gateways did not know of a crash, so that a prompt could crash a third engine - the error event of a cut stream was dropped with the body that broke - a caller that left while its request waited for tokens left the request id claimed - a refused connection turned an earlier attempt's `run` into `not_run`

Copies of a crashing prompt that run on several engines before the first crash are not limited.

--- a/src/bench/experiments/poison.rs
+++ b/src/bench/experiments/poison.rs
@@ -135,6 +135,11 @@
     report.bounded(&metric, f64::from(lost), "endpoints", Bound::AtMost(2.0));
     let metric = format!("{role} poison refused in the end");
     report.bounded(&metric, f64::from(u8::from(is_refused)), "requests", Bound::AtLeast(1.0));
+    let has_no_code =
+        |r: &&CallRecord| matches!(&r.ending, Ending::Cut { code } if code == "broken");
+    let without_code = records.iter().filter(has_no_code).count();
+    let metric = format!("{role} poison cut without a code");
+    report.bounded(&metric, without_code as f64, "requests", Bound::AtMost(0.0));
 }
 
 /// Requests that ran alongside are answered whole, and again when they are sent again.
--- a/src/engine/http_engine.rs
+++ b/src/engine/http_engine.rs
@@ -18,7 +18,9 @@
 
 /// Upper limit of one call; callers set tighter deadlines around it.
 const PREFILL_TIMEOUT: Duration = Duration::from_secs(30);
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Below the 500 ms after which a pool's owner gives up a call, so that a silent connection is
+/// noticed here and its second call goes over a new one.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// An engine behind its HTTP interface.
 #[derive(Clone)]
@@ -53,7 +55,12 @@
         question: &Q,
         limit: Duration,
     ) -> Result<A, EngineError> {
-        self.client.call(method, path, question, limit).await.map_err(convert)
+        let answer = self.client.call(method, path, question, limit).await;
+        if matches!(answer, Err(HttpError::Timeout { .. })) {
+            // Other pooled connections may have gone silent too.
+            self.client.reset();
+        }
+        answer.map_err(convert)
     }
 }
 
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -6,25 +6,27 @@
 use tokio::time::timeout;
 
 use crate::clock::{Clock, Instant};
-use crate::engine::{
-    DecodeEvent, DecodeRequest, Engine, EngineError, PrefillRequest, PrefillResult, PrefillSource,
-    TokenStream,
-};
+use crate::engine::{DecodeEvent, DecodeRequest, Engine, EngineError, PrefillSource, TokenStream};
 use crate::gateway::Node;
 use crate::http::HttpError;
 use crate::pool::{AttemptEnd, FinishedAttempt, Plan};
+use crate::serve::cleanup::Cleanup;
+use crate::serve::prefill::is_dead;
 use crate::serve::{Call, LiveAttempt, RunEvent};
 use crate::units::{AttemptId, EndpointId, ShardId, Tokens};
 
 /// Longest silence of a decode stream before its connection counts as silent. Well above the
-/// time between tokens of a cold engine.
-const TOKEN_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Added to the transfer's limit for the engine to start the stream.
-const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(1500);
+/// time between tokens of a cold engine, and well below the second over which the pool's owner
+/// observes progress: it takes an engine whose streams stall for that long for a cold one, and
+/// new requests are refused.
+const TOKEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Added to the transfer's limit for the engine to start the stream. Three silent connections,
+/// one after the other, must leave a request within 5 s.
+const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(800);
 /// Longest time that a caller may take to read one chunk.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
-/// Reconnections to an engine that may still hold the attempt.
-const MAX_RECONNECTS: u32 = 2;
+/// Reconnections without progress to an engine that may still hold the attempt.
+pub(super) const MAX_RECONNECTS: u32 = 2;
 
 /// What a request has produced so far, over all its attempts.
 #[derive(Debug, Default)]
@@ -63,11 +65,11 @@
 
 /// One attempt of a request on a reserved pair. Dropping it frees what it holds.
 pub struct Attempt {
-    node: Rc<Node>,
-    id: AttemptId,
-    shard: ShardId,
-    plan: Plan,
-    call: Rc<Call>,
+    pub(super) node: Rc<Node>,
+    pub(super) id: AttemptId,
+    pub(super) shard: ShardId,
+    pub(super) plan: Plan,
+    pub(super) call: Rc<Call>,
     started_at: Instant,
     is_finished: bool,
 }
@@ -113,6 +115,7 @@
             PrefillSource { address: self.plan.prefill_address.clone(), handle: prefill.handle };
         let mut source = Some(source);
         let mut reconnects = 0;
+        let mut was_silent = false;
         loop {
             let first_index = produced.tokens.len() as u64;
             let error = match self.decode(source.take(), first_index).await {
@@ -123,40 +126,24 @@
                 Err(error) => error,
             };
             self.check_deadline()?;
+            if produced.tokens.len() as u64 > first_index {
+                reconnects = 0;
+                was_silent = false;
+            }
             // The engine may still hold the attempt, so only the connection is replaced.
             let is_resumable = is_connection_error(&error) && reconnects < MAX_RECONNECTS;
             if !is_resumable {
+                // The attempt never reached the engine over the silent connection.
+                let is_lost = was_silent && error == EngineError::UnknownAttempt;
+                let error = if is_lost { EngineError::Silent } else { error };
                 return Err(self.decode_failed(error).await);
             }
             reconnects += 1;
+            was_silent |= error == EngineError::Silent;
             self.node.engines.get(&self.plan.decode_address).reset_connections();
         }
     }
 
-    async fn prefill(&self, produced: &mut Produced) -> Result<PrefillResult, AttemptError> {
-        let engine = self.node.engines.get(&self.plan.prefill_address);
-        let request = PrefillRequest {
-            attempt: self.id.clone(),
-            model: self.call.model.clone(),
-            prompt: self.call.prompt.clone(),
-            generated: produced.tokens.clone(),
-            cache_scope: self.call.organisation.as_str().into(),
-            priority: self.call.priority(),
-        };
-        let limit = self.call.remaining(&self.node.clock);
-        produced.was_sent = true;
-        let error = match timeout(limit, engine.prefill(&request)).await {
-            Err(_) => return Err(AttemptError::DeadlinePassed),
-            Ok(Ok(result)) => return Ok(result),
-            Ok(Err(error)) => error,
-        };
-        if matches!(&error, EngineError::Http(HttpError::Connect { .. })) {
-            produced.was_sent = !produced.tokens.is_empty();
-        }
-        let died = is_dead(&engine, &error).await;
-        Err(AttemptError::Endpoint { endpoint: self.plan.prefill.clone(), died, error })
-    }
-
     async fn decode(
         &self,
         source: Option<PrefillSource>,
@@ -173,7 +160,7 @@
             priority: self.call.priority(),
         };
         let limit = Duration::from_millis(self.plan.transfer_limit_ms) + FIRST_EVENT_MARGIN;
-        timeout(limit, engine.decode(&request)).await.unwrap_or(Err(EngineError::TransferStalled))
+        timeout(limit, engine.decode(&request)).await.unwrap_or(Err(EngineError::Silent))
     }
 
     /// Passes the stream's tokens on until it ends. Events of other attempts, repeated tokens
@@ -265,6 +252,10 @@
             Err(AttemptError::Endpoint { endpoint, died: true, .. }) => {
                 (AttemptEnd::EndpointDied, Some(endpoint.clone()))
             }
+            // The endpoint is not to blame for its connections.
+            Err(AttemptError::Endpoint { error: EngineError::Silent, .. }) => {
+                (AttemptEnd::Failed, None)
+            }
             Err(AttemptError::Endpoint { endpoint, error, .. }) => {
                 let is_wasted = *error == EngineError::PrefillExpired;
                 let end = if is_wasted { AttemptEnd::PrefillWasted } else { AttemptEnd::Failed };
@@ -319,47 +310,7 @@
     }
 }
 
-/// Frees what an attempt holds on the engines and at the pool's owner. What fails here is found
-/// by the owner, which compares the engines' lists with the reports of live attempts.
-struct Cleanup {
-    node: Rc<Node>,
-    id: AttemptId,
-    shard: ShardId,
-    call: Rc<Call>,
-    addresses: [SmolStr; 2],
-}
-
-impl Cleanup {
-    fn of(attempt: &Attempt) -> Cleanup {
-        Cleanup {
-            node: Rc::clone(&attempt.node),
-            id: attempt.id.clone(),
-            shard: attempt.shard.clone(),
-            call: Rc::clone(&attempt.call),
-            addresses: [attempt.plan.prefill_address.clone(), attempt.plan.decode_address.clone()],
-        }
-    }
-
-    async fn cancel_on_engines(&self) {
-        let cancels = self.addresses.iter().map(|address| {
-            let engine = self.node.engines.get(address);
-            async move {
-                if let Err(error) = engine.cancel(&self.id).await {
-                    log::debug!(target: "serve", "cancel of {} failed: {error}", self.id);
-                }
-            }
-        });
-        futures::future::join_all(cancels).await;
-    }
-
-    async fn finish_at_owner(&self, finished: FinishedAttempt) -> u32 {
-        self.node.live.remove(&self.id);
-        let fingerprint = self.call.fingerprint;
-        crate::route::finish_attempt(&self.node, &self.shard, finished, fingerprint).await
-    }
-}
-
-fn is_connection_error(error: &EngineError) -> bool {
+pub(super) fn is_connection_error(error: &EngineError) -> bool {
     matches!(
         error,
         EngineError::StreamCut
@@ -367,17 +318,3 @@
             | EngineError::Http(HttpError::Broken { .. } | HttpError::Timeout { .. })
     )
 }
-
-/// Whether the engine's process is gone: a new connection is refused too.
-async fn is_dead(engine: &impl Engine, error: &EngineError) -> bool {
-    let is_refused =
-        |error: &EngineError| matches!(error, EngineError::Http(HttpError::Connect { .. }));
-    if is_refused(error) {
-        return true;
-    }
-    if !is_connection_error(error) {
-        return false;
-    }
-    engine.reset_connections();
-    matches!(engine.load().await, Err(error) if is_refused(&error))
-}
--- a/src/serve/call.rs
+++ b/src/serve/call.rs
@@ -31,6 +31,11 @@
         self.deadline.remaining(clock.now())
     }
 
+    /// The same request with more time in the pools' queues.
+    pub fn queued_until(&self, queue_deadline: Instant) -> Call {
+        Call { queue_deadline: queue_deadline.min(self.deadline), ..self.clone() }
+    }
+
     pub fn priority(&self) -> u8 {
         match self.class {
             Class::Interactive => 1,
--- /dev/null
+++ b/src/serve/cleanup.rs
@@ -0,0 +1,50 @@
+use std::rc::Rc;
+
+use smol_str::SmolStr;
+
+use crate::engine::Engine;
+use crate::gateway::Node;
+use crate::pool::FinishedAttempt;
+use crate::serve::Call;
+use crate::serve::attempt::Attempt;
+use crate::units::{AttemptId, ShardId};
+
+/// Frees what an attempt holds on the engines and at the pool's owner. What fails here is found
+/// by the owner, which compares the engines' lists with the reports of live attempts.
+pub(super) struct Cleanup {
+    node: Rc<Node>,
+    id: AttemptId,
+    shard: ShardId,
+    call: Rc<Call>,
+    addresses: [SmolStr; 2],
+}
+
+impl Cleanup {
+    pub fn of(attempt: &Attempt) -> Cleanup {
+        Cleanup {
+            node: Rc::clone(&attempt.node),
+            id: attempt.id.clone(),
+            shard: attempt.shard.clone(),
+            call: Rc::clone(&attempt.call),
+            addresses: [attempt.plan.prefill_address.clone(), attempt.plan.decode_address.clone()],
+        }
+    }
+
+    pub async fn cancel_on_engines(&self) {
+        let cancels = self.addresses.iter().map(|address| {
+            let engine = self.node.engines.get(address);
+            async move {
+                if let Err(error) = engine.cancel(&self.id).await {
+                    log::debug!(target: "serve", "cancel of {} failed: {error}", self.id);
+                }
+            }
+        });
+        futures::future::join_all(cancels).await;
+    }
+
+    pub async fn finish_at_owner(&self, finished: FinishedAttempt) -> u32 {
+        self.node.live.remove(&self.id);
+        let fingerprint = self.call.fingerprint;
+        crate::route::finish_attempt(&self.node, &self.shard, finished, fingerprint).await
+    }
+}
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -24,6 +24,8 @@
 
 /// Events and chunks that may wait for a slow caller.
 const CHANNEL_EVENTS: usize = 64;
+/// Time for the last event to leave: hyper drops what it has not written when a body breaks.
+const FLUSH_TIME: Duration = Duration::from_millis(5);
 const MAX_REQUEST_ID_BYTES: usize = 128;
 const REQUEST_ID_HEADER: &str = "x-request-id";
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
@@ -50,26 +52,12 @@
         let outcome = Outcome::NotRun;
         return Err(CallError::CrashesEndpoints { outcome });
     }
-    let claimed = ClaimedRequest::claim(node, &call).await?;
-    let charge = match charge::charge(node, &call).await {
-        Ok(charge) => charge,
-        Err(error) => {
-            if let Some(claimed) = claimed {
-                claimed.finish(false).await;
-            }
-            return Err(error);
-        }
-    };
-    node.retry_budget.note_request();
     let (sender, mut events) = mpsc::channel(CHANNEL_EVENTS);
     let in_flight = node.in_flight.enter();
     let task_node = Rc::clone(node);
     let task_call = Rc::clone(&call);
     tokio::task::spawn_local(async move {
-        let is_complete = run::run(task_node, task_call, charge, sender).await;
-        if let Some(claimed) = claimed {
-            claimed.finish(is_complete).await;
-        }
+        claim_and_run(task_node, task_call, sender).await;
         drop(in_flight);
     });
     let first = events.recv().await.unwrap_or(RunEvent::Failed(CallError::Stopping));
@@ -92,6 +80,31 @@
     }
 }
 
+/// Claims the request's id, charges the budget and runs the request. In a task of its own, since
+/// a claim has to be ended also when the caller leaves before the request runs.
+async fn claim_and_run(node: Rc<Node>, call: Rc<Call>, events: mpsc::Sender<RunEvent>) {
+    let claimed = match ClaimedRequest::claim(&node, &call).await {
+        Ok(claimed) => claimed,
+        Err(error) => {
+            let _ = events.send(RunEvent::Failed(error)).await;
+            return;
+        }
+    };
+    let is_complete = match charge::charge(&node, &call).await {
+        Ok(charge) => {
+            node.retry_budget.note_request();
+            run::run(Rc::clone(&node), call, charge, events).await
+        }
+        Err(error) => {
+            let _ = events.send(RunEvent::Failed(error)).await;
+            false
+        }
+    };
+    if let Some(claimed) = claimed {
+        claimed.finish(is_complete).await;
+    }
+}
+
 /// Reads a request's body up to a limit.
 pub async fn read_body(
     request: Request<Incoming>,
@@ -186,6 +199,7 @@
                 return;
             }
             if is_broken {
+                tokio::time::sleep(FLUSH_TIME).await;
                 let _ = sender.send(Err(BrokenStream)).await;
                 return;
             }
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -6,12 +6,14 @@
 use crate::budget::Charge;
 use crate::clock::Clock;
 use crate::gateway::Node;
+use crate::pool::Plan;
 use crate::route;
 use crate::serve::attempt::{Attempt, AttemptError, Produced};
+use crate::serve::spread::spread_suspicions;
 use crate::serve::{Call, CallError, Outcome, RunEvent};
-use crate::units::EndpointId;
+use crate::units::{AttemptId, EndpointId, ShardId};
 
-/// Attempts of one request, resumptions included.
+/// Attempts of one request without progress, resumptions included.
 const MAX_ATTEMPTS: u32 = 4;
 /// Requests that were running on this many endpoints when those died are refused.
 pub const MAX_CRASHES: u32 = 2;
@@ -65,9 +67,14 @@
     let mut attempts = 0;
     loop {
         attempts += 1;
-        let outcome = outcome_so_far(produced);
+        let first_index = produced.tokens.len();
         let id = node.live.next_id();
-        let (shard, plan) = route::admit(node, call, &id, &avoid, outcome).await?;
+        let (shard, plan) = match attempts {
+            1 if first_index == 0 => {
+                route::admit(node, call, &id, &avoid, outcome_so_far(produced)).await?
+            }
+            _ => admit_again(node, call, &id, &mut avoid, produced).await?,
+        };
         let attempt = Attempt::new(Rc::clone(node), id, shard, plan, Rc::clone(call));
         let ended = attempt.run(produced, events).await;
         charge.note_used(produced.used_tokens());
@@ -80,6 +87,9 @@
         };
         log::debug!(target: "serve", "attempt {} ended: {error:?}", attempt.id());
         let crashes = attempt.finish(produced, Err(&error)).await;
+        if matches!(error, AttemptError::Endpoint { died: true, .. }) {
+            spread_suspicions(node).await;
+        }
         let outcome = outcome_so_far(produced);
         match error {
             AttemptError::CallerGone => return Err(CallError::EngineFailed { outcome }),
@@ -89,6 +99,9 @@
         if crashes >= MAX_CRASHES {
             return Err(CallError::CrashesEndpoints { outcome });
         }
+        if produced.tokens.len() > first_index {
+            attempts = 0;
+        }
         // A stream that has begun is resumed in any case; its caller cannot send it again
         // without reading it twice.
         let may_retry = !produced.tokens.is_empty() || node.retry_budget.take_retry();
@@ -98,6 +111,29 @@
     }
 }
 
+/// Admits a request whose earlier attempt failed. Its time in the queue counts from now, since
+/// the first attempt may have used up the request's own. Endpoints that failed are only avoided
+/// while others have room, and a stream that has begun waits until its deadline.
+async fn admit_again(
+    node: &Rc<Node>,
+    call: &Rc<Call>,
+    id: &AttemptId,
+    avoid: &mut Vec<EndpointId>,
+    produced: &Produced,
+) -> Result<(ShardId, Plan), CallError> {
+    let outcome = outcome_so_far(produced);
+    let queue_deadline = || node.clock.now().plus_ms(node.settings.interactive_queue_ms);
+    let again = call.queued_until(queue_deadline());
+    match route::admit(node, &again, id, avoid, outcome).await {
+        Err(CallError::NoEndpoint { .. } | CallError::NoCapacity { .. }) => {}
+        admitted => return admitted,
+    }
+    avoid.clear();
+    let has_begun = !produced.tokens.is_empty();
+    let again = call.queued_until(if has_begun { call.deadline } else { queue_deadline() });
+    route::admit(node, &again, id, avoid, outcome).await
+}
+
 fn outcome_so_far(produced: &Produced) -> Outcome {
     if produced.was_sent { Outcome::Run } else { Outcome::NotRun }
 }
--- /dev/null
+++ b/src/serve/spread.rs
@@ -0,0 +1,27 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+use crate::gateway::Node;
+use crate::peer::HeartbeatSource;
+
+/// A peer that is slow to answer does not hold up the request that is resumed.
+const SPREAD_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Sends the peers a heartbeat with the newest suspicions at once. Until the regular heartbeat a
+/// second later, the request that crashed an endpoint could crash a third one through them.
+pub async fn spread_suspicions(node: &Rc<Node>) {
+    let peers = node.membership.live_peers();
+    let clients = peers.iter().filter_map(|member| node.peers.client(&member.instance));
+    let sends = clients.map(|client| async move {
+        let sent_at = node.clock.now();
+        if let Ok(answer) = client.heartbeat(&node.next_heartbeat()).await {
+            node.hear(&answer, sent_at);
+        }
+    });
+    if timeout(SPREAD_TIMEOUT, futures::future::join_all(sends)).await.is_err() {
+        log::debug!(target: "suspect", "not all peers have confirmed the suspicions");
+    }
+}
