--- a/src/once/at_most_once.rs
+++ b/src/once/at_most_once.rs
@@ -30,7 +30,7 @@
     idempotency_key: &str,
     request: &PlainRequest,
 ) -> Result<PlainAnswer, CallError> {
-    let clients = node.plain_clients(service);
+    let clients = node.service_latency.healthy_first(node.plain_clients(service));
     if clients.is_empty() {
         return Err(CallError::ServiceUnavailable { outcome: Outcome::NotRun });
     }
@@ -106,10 +106,12 @@
                 }
                 Err(error) if error.is_unsent() => {
                     log::debug!(target: "once", "call not sent: {error}");
+                    self.node.service_latency.note_failure(client.address());
                 }
                 Err(error) => {
                     log::warn!(target: "once", "outcome of {} is unknown: {error}", self.table_key);
                     client.reset();
+                    self.node.service_latency.note_failure(client.address());
                     return Err(CallError::CallUnresolved);
                 }
             }
