Refund a prompt's unused charge once the engine has counted it

Cause: a request is charged an upper bound, bytes / 2 of its prompt and max_tokens, and kept the whole of it until its end some seconds later. The bound is two to three times what a request uses, so an organisation at 80 % of its rate had more than its burst charged and its requests waited for tokens, although the flood was held to 90 % of the flooder's rate.

Change: Charge::lower_to refunds a part of a charge while the request goes on, newest grants first. The gateway lowers the charge to the counted prompt and max_tokens after the prefill. The bound on any interval is unchanged: the property test of the budgets now lowers each charge on the way.

--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::budget::Charge;
 use crate::clock::{Clock, Instant};
 use crate::engine::{
     DecodeEvent, DecodeRequest, Engine, EngineError, PrefillRequest, PrefillResult, PrefillSource,
@@ -104,11 +105,14 @@
     pub async fn run(
         &self,
         produced: &mut Produced,
+        charge: &Charge,
         events: &mpsc::Sender<RunEvent>,
     ) -> Result<SmolStr, AttemptError> {
         tokio::time::sleep(Duration::from_millis(self.plan.start_after_ms)).await;
         let prefill = self.prefill(produced).await?;
         produced.prompt_tokens = prefill.prompt_tokens - Tokens(produced.tokens.len() as u64);
+        // The engine has counted the prompt; the upper bound by its bytes is about three times that.
+        charge.lower_to(produced.prompt_tokens + self.call.max_output_tokens);
         let source =
             PrefillSource { address: self.plan.prefill_address.clone(), handle: prefill.handle };
         let mut source = Some(source);
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -69,7 +69,7 @@
         let id = node.live.next_id();
         let (shard, plan) = route::admit(node, call, &id, &avoid, outcome).await?;
         let attempt = Attempt::new(Rc::clone(node), id, shard, plan, Rc::clone(call));
-        let ended = attempt.run(produced, events).await;
+        let ended = attempt.run(produced, charge, events).await;
         charge.note_used(produced.used_tokens());
         let error = match ended {
             Ok(finish_reason) => {
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -271,6 +271,27 @@
     });
 }
 
+/// Guards against tokens that stay charged for the whole request after its prompt was counted.
+#[test]
+fn a_lowered_charge_gives_tokens_back_before_the_end() {
+    run(async {
+        let world = World::start(25, rate(10, 1_000)).await;
+        let (one, other) = (world.instance(0), world.instance(1));
+        let charge = world.admit(&one, 1_000).await.expect("the bucket is full");
+        sleep(Duration::from_millis(700)).await;
+        charge.lower_to(Tokens(300));
+        assert_eq!(charge.charged_tokens(), Tokens(300));
+        charge.lower_to(Tokens(600));
+        assert_eq!(charge.charged_tokens(), Tokens(300));
+        sleep(Duration::from_millis(10)).await;
+        let second = world.admit(&other, 690).await.expect("700 tokens came back");
+        second.settle(Tokens(690));
+        // What was refunded is not refunded again at the end.
+        charge.settle(Tokens(300));
+        assert!(world.admit(&other, 200).await.is_err());
+    });
+}
+
 /// Guards against a lowered rate that is not in force at once at the owner.
 #[test]
 fn a_lowered_rate_is_in_force_when_old_grants_have_ended() {
--- a/tests/budget_world/mod.rs
+++ b/tests/budget_world/mod.rs
@@ -175,7 +175,8 @@
         Rc::new(allowances)
     }
 
-    /// Charges a request of up to `charged` tokens, and lets it run for `run_ms`.
+    /// Charges a request of up to `charged` tokens, and lets it run for `run_ms`. A third of the way
+    /// it learns a lower bound.
     pub async fn request(
         &self,
         instance: &Allowances<TokioClock, Network>,
@@ -186,7 +187,9 @@
         let charge = self.admit(instance, charged).await?;
         charge.note_used(Tokens(used / 2));
         self.admitted.borrow().last().expect("just admitted").1.set(used);
-        sleep(Duration::from_millis(run_ms)).await;
+        sleep(Duration::from_millis(run_ms / 3)).await;
+        charge.lower_to(Tokens((charged + used) / 2));
+        sleep(Duration::from_millis(run_ms - run_ms / 3)).await;
         charge.settle(Tokens(used));
         Ok(())
     }
