--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -76,7 +76,7 @@
             _ => admit_again(node, call, &id, &mut avoid, produced).await?,
         };
         let attempt = Attempt::new(Rc::clone(node), id, shard, plan, Rc::clone(call));
-        let ended = attempt.run(produced, events).await;
+        let ended = attempt.run(produced, charge, events).await;
         charge.note_used(produced.used_tokens());
         let error = match ended {
             Ok(finish_reason) => {
