Keep the fencing number that a handover chose

Cause: the holder that hands over writes the successor into the row under fencing F + 1, and the successor raised it again to F + 2 when it took the row. Budgets accept a handed-over state only under F + 1, so every planned stop emptied the budgets of the organisations it moved.

Ruled out: a lost or refused transfer of the state. All were accepted.

Change: an instance that finds a row that names it and that it did not write takes it under the row's own number, which no instance has acted under. A row that it wrote itself is still taken under the next number.

--- a/src/lease/acquire.rs
+++ b/src/lease/acquire.rs
@@ -38,7 +38,13 @@
             self.gain(shard, lease, row, own.previous_end);
             return;
         }
-        let next = self.gaining_row(shard, Fencing(row.fencing.get() + 1), &row.witnesses);
+        // The predecessor already chose a new fencing number for a handover. The state that it
+        // sent is known to be the newest only under the number that follows its own.
+        let own = self.own();
+        let is_own_write =
+            row.attempt.instance == own.instance && row.attempt.incarnation == own.incarnation;
+        let fencing = if is_own_write { Fencing(row.fencing.get() + 1) } else { row.fencing };
+        let next = self.gaining_row(shard, fencing, &row.witnesses);
         self.write_gain(shard, next, Some(revision), seen.first_seen).await;
     }
 
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -165,20 +165,25 @@
     });
 }
 
-/// Guards against a handover that leaves the shard to lapse, and an old holder that goes on until it
-/// has the answer.
+/// Guards against a handover that leaves the shard to lapse, an old holder that goes on until it
+/// has the answer, and a successor that cannot tell that the state sent to it is the newest, since
+/// its fencing number is not the one after the old holder's.
 #[test]
 fn handover_is_short() {
     for is_lost in [false, true] {
         simulate(async {
             let (world, old) = held(7, 5).await;
             let leases = world.leases(old).unwrap();
+            let fencing = leases.held(&SHARD).unwrap().fencing;
             let to = leases.successors(&SHARD).remove(0);
             world.cut(Link::FromTable(old), if is_lost { 5000 } else { 0 });
             let handover = leases.hand_over(&SHARD, &to);
             let (outcome, ()) = tokio::join!(handover, world.run_for(700));
             assert_eq!(outcome.is_err(), is_lost);
-            assert_eq!(world.holder(&SHARD).map(|i| world.member(i)), Some(to));
+            let new = world.holder(&SHARD).unwrap();
+            assert_eq!(world.member(new), to);
+            let taken = world.leases(new).unwrap().held(&SHARD).unwrap().fencing;
+            assert_eq!(taken.get(), fencing.get() + 1);
         });
     }
 }
