Let notes of configuration witnesses expire

Cause: a witness kept a note of a version for ever. A store outage between note and commit therefore left nobody to confirm the version in force, and all instances refused keyed requests until the store was back.

Change: a note ends after 10 s. An edit is reported as accepted only once a majority of the witnesses of the version before have the new one in force, so that they confirm no older one after their notes have ended. This costs a round trip to the witnesses for each edit. If no majority answers in time, the outcome is reported as unknown, although the edit is durable.

Considered: renewing the notes instead. A witness that is cut off after the last renewal would confirm the old version again 10 s later.

--- a/src/config/commit.rs
+++ b/src/config/commit.rs
@@ -8,7 +8,9 @@
 use crate::config::configuration::LOG;
 use crate::config::confirm::{HEAD_TIMEOUT, in_time, parse_head};
 use crate::config::proposal::Proposal;
-use crate::config::{Change, ChangeRow, ConfigError, ConfigWitnesses, Configuration, Head};
+use crate::config::{
+    Change, ChangeRow, ConfigError, ConfigWitnesses, Configuration, Head, Witness,
+};
 use crate::platform::{CommitOutcome, Objects, PlatformError, Table, Transaction};
 use crate::units::Version;
 
@@ -41,16 +43,20 @@
             in_time(PUT_TIMEOUT, self.objects.put(content)).await.map_err(ConfigError::store)?;
         }
         let mut revision = None;
+        let mut witnesses = Vec::new();
         if let Some((head, base_revision)) = base {
             self.collect_notes(&head.witnesses, version).await?;
             revision = Some(base_revision);
+            witnesses = head.witnesses;
         }
         for _ in 0..RESOLVE_ATTEMPTS {
             let transaction = proposal
                 .transaction(revision)
                 .map_err(|_| ConfigError::MalformedRow { key: Head::KEY.into() })?;
             match in_time(COMMIT_TIMEOUT, self.table.commit(&transaction)).await {
-                Ok(CommitOutcome::Applied { .. }) => return Ok(self.accept(proposal)),
+                Ok(CommitOutcome::Applied { .. }) => {
+                    return self.accept(proposal, &witnesses).await;
+                }
                 Err(source @ PlatformError::Unavailable { .. }) => {
                     return Err(ConfigError::store(source));
                 }
@@ -62,7 +68,7 @@
                 }
             }
             match self.resolve(&proposal).await? {
-                Resolution::Accepted => return Ok(self.accept(proposal)),
+                Resolution::Accepted => return self.accept(proposal, &witnesses).await,
                 // The row is still at the base version, but no longer at its revision.
                 Resolution::NotApplied { revision: newer } => revision = Some(newer),
             }
@@ -136,17 +142,29 @@
         in_time(COMMIT_TIMEOUT, self.table.commit(&fence)).await.map_err(ConfigError::store)
     }
 
-    /// Brings an accepted version into force here and pushes it to the peers.
-    fn accept(&self, proposal: Proposal) -> Version {
-        let version = proposal.change.version;
-        log::info!(
-            target: LOG,
-            "version {version} accepted: section {}, team {}",
-            proposal.change.section, proposal.team
-        );
+    /// Brings a committed version into force here, pushes it to the peers, and reports it as
+    /// accepted once a majority of the witnesses of the version before have it in force. Until
+    /// then a witness whose note has expired could confirm that older version.
+    async fn accept(
+        &self,
+        proposal: Proposal,
+        witnesses: &[Witness],
+    ) -> Result<Version, ConfigError> {
+        let Proposal { change, next, team, .. } = proposal;
+        let version = change.version;
+        log::info!(target: LOG, "version {version} accepted: section {}, team {team}", change.section);
         // A version that is still missing below this one is fetched by `run`.
-        self.install(proposal.next, Some(&proposal.change));
-        self.peers.push(&proposal.change);
-        version
+        self.install(next, Some(&change));
+        self.peers.push(&change);
+        if witnesses.is_empty() {
+            return Ok(version);
+        }
+        for _ in 0..RESOLVE_ATTEMPTS {
+            if self.put_in_force_at_witnesses(witnesses, &change).await {
+                return Ok(version);
+            }
+            tokio::time::sleep(RESOLVE_PAUSE).await;
+        }
+        Err(ConfigError::OutcomeUnknown { version })
     }
 }
--- a/src/config/config_witnesses.rs
+++ b/src/config/config_witnesses.rs
@@ -19,6 +19,9 @@
     /// Asks a witness for the newest version that it has noted.
     async fn noted_version(&self, witness: &Witness) -> Option<Version>;
 
+    /// Sends a change to a witness and returns the version in force there.
+    async fn push_to(&self, witness: &Witness, change: &Change) -> Option<Version>;
+
     /// The peer's changes after `version`, oldest first, and its version in force.
     async fn changes_since(
         &self,
--- a/src/config/configuration.rs
+++ b/src/config/configuration.rs
@@ -28,8 +28,9 @@
 pub(super) struct State {
     pub(super) in_force: Rc<InForce>,
     pub(super) recent: RecentChanges,
-    /// Newest version that this instance has noted as a witness.
+    /// Newest version that this instance has noted as a witness, and when the note expires.
     pub(super) noted: Version,
+    pub(super) noted_deadline: Instant,
     /// Newest version that this instance has heard of.
     pub(super) wanted: Version,
     /// Newest head row that was read.
@@ -49,6 +50,7 @@
             in_force: Rc::new(InForce::empty()),
             recent: RecentChanges::default(),
             noted: Version(0),
+            noted_deadline: Instant::default(),
             wanted: Version(0),
             head: None,
             confirmed_at: None,
--- a/src/config/confirm.rs
+++ b/src/config/confirm.rs
@@ -7,7 +7,9 @@
 
 use crate::clock::{Clock, Instant};
 use crate::config::configuration::LOG;
-use crate::config::{ConfigError, ConfigWitnesses, Configuration, Confirmation, Head, Witness};
+use crate::config::{
+    Change, ConfigError, ConfigWitnesses, Configuration, Confirmation, Head, Witness,
+};
 use crate::platform::{Objects, PlatformError, Row, Table};
 use crate::units::{Incarnation, Version};
 
@@ -16,6 +18,9 @@
 const CONFIRMED_MS: u64 = 2500;
 /// A witness that has not answered by then counts as silent.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(800);
+/// A note that no commit followed ends after this time. Otherwise a store that goes down between
+/// note and commit would leave nobody to confirm the version in force until it is back.
+const NOTE_MS: u64 = 10_000;
 /// A read of the head row that takes longer is not waited for any more. Below the period of
 /// reads, so that a stalled store does not delay the next read.
 pub(super) const HEAD_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -62,21 +67,31 @@
         }
     }
 
-    /// Notes that `version` is about to be committed. From then on this instance's answers no
-    /// longer confirm an older version. A previous run of the instance cannot be asked.
+    /// Notes that `version` is about to be committed. Until the note expires or `version` is in
+    /// force here, this instance's answers do not confirm an older version. A previous run of the
+    /// instance cannot be asked.
     pub fn note_version(&self, version: Version, witness: Incarnation) -> bool {
         if witness != self.itself.incarnation {
             return false;
         }
+        let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        state.noted = state.noted.max(version);
+        if version >= state.noted || now >= state.noted_deadline {
+            state.noted = version;
+            state.noted_deadline = now.plus_ms(NOTE_MS);
+        }
         true
     }
 
     /// The newest version that this instance has noted or has in force.
     pub fn noted_version(&self, witness: Incarnation) -> Option<Version> {
+        if witness != self.itself.incarnation {
+            return None;
+        }
+        let now = self.clock.now();
         let state = self.state.borrow();
-        (witness == self.itself.incarnation).then(|| state.noted.max(state.in_force.version))
+        let in_force = state.in_force.version;
+        Some(if now < state.noted_deadline { state.noted.max(in_force) } else { in_force })
     }
 
     /// Reads the head row and learns from it.
@@ -164,6 +179,30 @@
         Err(ConfigError::NoMajority { version })
     }
 
+    /// Waits until a majority of the witnesses have the version of `change` in force, after which
+    /// they confirm no older version whatever becomes of their notes.
+    pub(super) async fn put_in_force_at_witnesses(
+        &self,
+        witnesses: &[Witness],
+        change: &Change,
+    ) -> bool {
+        let known: FuturesUnordered<_> =
+            witnesses.iter().map(|witness| self.put_in_force_at(witness, change)).collect();
+        has_majority(known, witnesses.len()).await
+    }
+
+    async fn put_in_force_at(&self, witness: &Witness, change: &Change) -> bool {
+        if *witness == self.itself {
+            return self.current().version >= change.version;
+        }
+        if self.peers.is_gone(witness) {
+            return true;
+        }
+        let asked = self.peers.push_to(witness, change);
+        let in_force = tokio::time::timeout(WITNESS_TIMEOUT, asked).await.ok().flatten();
+        in_force.is_some_and(|version| version >= change.version)
+    }
+
     async fn ask_note(&self, witness: &Witness, version: Version) -> bool {
         if *witness == self.itself {
             return self.note_version(version, self.itself.incarnation);
--- a/src/gateway/node_peers.rs
+++ b/src/gateway/node_peers.rs
@@ -94,6 +94,14 @@
         self.ask(&witness.instance, call).await.flatten()
     }
 
+    async fn push_to(&self, witness: &Witness, change: &Change) -> Option<Version> {
+        if let Some(node) = self.own_node(&witness.instance) {
+            return Some(node.configuration.apply(change.clone()));
+        }
+        let call = |client: PeerClient| async move { client.push_change(change).await };
+        self.ask(&witness.instance, call).await
+    }
+
     async fn changes_since(
         &self,
         peer: &InstanceId,
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -193,6 +193,47 @@
     });
 }
 
+/// Guards against a store that goes down between the notes of a version and its commit: without an
+/// end of the notes nobody could confirm the version in force until the store is back.
+#[test]
+fn notes_without_a_commit_end_after_10_s() {
+    run_paused(async {
+        let net = fleet(5).await;
+        net.stores().iter().for_each(|store| store.faults.down.set(true));
+        for witness in head(&net).witnesses {
+            let config = net.config(witness.instance.as_str());
+            assert!(config.note_version(Version(2), witness.incarnation));
+        }
+        sleep_ms(5000).await;
+        for (name, config) in net.all() {
+            assert!(!config.is_confirmed(), "{name}: version 2 may have been committed");
+        }
+        sleep_ms(7000).await;
+        for (name, config) in net.all() {
+            assert!(config.is_confirmed(), "{name}");
+        }
+    });
+}
+
+/// Guards against witnesses that confirm the version before an accepted one once their notes have
+/// ended, since the push to them was lost.
+#[test]
+fn an_accepted_version_is_in_force_at_a_majority_of_the_witnesses() {
+    run_paused(async {
+        let net = fleet(9).await;
+        net.loses_pushes.set(true);
+        let witnesses = head(&net).witnesses;
+        let others = net.all().into_iter().map(|(name, _)| name);
+        let writer = others.into_iter().find(|name| {
+            witnesses.iter().all(|witness| witness.instance.as_str() != name.as_str())
+        });
+        let writer = net.config(&writer.unwrap());
+        let version = writer.edit("traffic", "rates", Version(1), &rates(9)).await.unwrap();
+        let versions = witnesses.iter().map(|w| net.config(w.instance.as_str()).current().version);
+        assert!(versions.filter(|known| *known == version).count() >= 3);
+    });
+}
+
 /// Guards against edits that stop for good because witnesses were replaced one after another,
 /// and against an operator's conflict with a mere replacement of witnesses.
 #[test]
--- a/tests/config/fakes.rs
+++ b/tests/config/fakes.rs
@@ -288,6 +288,11 @@
         self.reach(&witness.instance).await?.noted_version(witness.incarnation)
     }
 
+    async fn push_to(&self, witness: &Witness, change: &Change) -> Option<Version> {
+        let config = self.reach(&witness.instance).await?;
+        (config.noted_version(witness.incarnation).is_some()).then(|| config.apply(change.clone()))
+    }
+
     async fn changes_since(
         &self,
         peer: &InstanceId,
