Claim request ids again at new holders and release those of dead runs

Cause: a new holder of a budget shard knew no claims; claims of an instance that died, of a caller that left before its request ran, and claims whose end was not delivered stayed for ever, so that a repeat under the same request id was refused for good.

Change: each instance keeps its live claims with the holder's fencing number and claims them again when the number changes. The holder releases claims of runs that membership does not hear any more. A claim that is dropped ends; its end is sent again until it is delivered. A completion is kept even if the holder has not heard of the claim. A claim waits for a holder until the end of the request's queue time instead of 2 s.

Open: for up to 250 ms and one heartbeat after a takeover a repeat can be accepted while the first attempt still runs, if its caller's connection broke but its instance lives.

--- a/src/budget/request_claims.rs
+++ b/src/budget/request_claims.rs
@@ -1,5 +1,5 @@
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::clock::{Clock, Instant};
 use crate::units::{AttemptId, Incarnation, InstanceId, OrganisationId, RequestId};
@@ -63,7 +63,8 @@
     }
 
     /// Ends an attempt. A request that did not complete may be claimed again at once. Has no
-    /// effect on a claim of another attempt or on one that has completed.
+    /// effect on a claim of another attempt or on one that has completed. A completion is kept
+    /// even without a claim, since the holder may be new and not have heard of the claim.
     pub fn finish(
         &self,
         organisation: &OrganisationId,
@@ -75,6 +76,14 @@
         self.claims.borrow_mut().finish(organisation, request, attempt, completed, deadline);
     }
 
+    /// The runs of instances that have unfinished claims.
+    pub fn claimants(&self) -> BTreeSet<(InstanceId, Incarnation)> {
+        let claims = self.claims.borrow();
+        let all = claims.by_request.values().flat_map(BTreeMap::values);
+        let unfinished = all.filter(|claim| claim.deadline.is_none());
+        unfinished.map(|c| (c.attempt.instance.clone(), c.attempt.incarnation)).collect()
+    }
+
     /// Drops the unfinished claims of a run of an instance that has died.
     pub fn release_instance(&self, instance: &InstanceId, incarnation: Incarnation) {
         self.claims.borrow_mut().retain(|_, claim| {
@@ -107,6 +116,12 @@
         completed: bool,
         deadline: Instant,
     ) {
+        if completed {
+            let requests = self.by_request.entry(organisation.clone()).or_default();
+            requests
+                .entry(request.clone())
+                .or_insert_with(|| Claim { attempt: attempt.clone(), deadline: None });
+        }
         let requests = self.by_request.get_mut(organisation);
         let claim = requests.and_then(|requests| requests.get_mut(request));
         let Some(claim) = claim.filter(|c| c.attempt == *attempt && c.deadline.is_none()) else {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -15,7 +15,7 @@
 use crate::platform::HttpPlatform;
 use crate::pool::{EngineFactory, Pools};
 use crate::route::FreeSlots;
-use crate::serve::{InFlight, LiveAttempts, RetryBudget};
+use crate::serve::{InFlight, LiveAttempts, LiveClaims, RetryBudget};
 use crate::settings::GatewaySettings;
 use crate::suspect::Suspects;
 
@@ -38,6 +38,7 @@
     pub pools: Rc<Pools<SharedEngines, BootClock>>,
     pub suspects: Rc<Suspects<BootClock>>,
     pub live: LiveAttempts,
+    pub live_claims: LiveClaims,
     pub free_slots: FreeSlots,
     pub retry_budget: RetryBudget,
     pub in_flight: InFlight,
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -63,7 +63,10 @@
         attempt: AttemptId,
         completed: bool,
     ) {
-        self.claims.finish(&organisation, &request, &attempt, completed);
+        let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+        if self.leases.held(&shard).is_some() {
+            self.claims.finish(&organisation, &request, &attempt, completed);
+        }
     }
 
     async fn admit(&self, admission: Admission) -> AdmitAnswer {
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -22,7 +22,7 @@
 use crate::platform::{HttpPlatform, InstanceList, ListedInstance, ListedState};
 use crate::pool::Pools;
 use crate::route::{FreeSlots, report_progress};
-use crate::serve::{InFlight, LiveAttempts, RetryBudget};
+use crate::serve::{InFlight, LiveAttempts, LiveClaims, RetryBudget, keep_claims};
 use crate::settings::GatewaySettings;
 use crate::suspect::Suspects;
 use crate::units::{Incarnation, Version};
@@ -117,6 +117,7 @@
             engines,
             suspects,
             live: LiveAttempts::new(own.instance.clone(), own.incarnation),
+            live_claims: LiveClaims::default(),
             free_slots: FreeSlots::default(),
             retry_budget: RetryBudget::default(),
             in_flight: InFlight::default(),
@@ -162,6 +163,7 @@
         pools_node.pools.run(deadline).await;
     });
     tasks.spawn_local(report_progress(Rc::clone(node)));
+    tasks.spawn_local(keep_claims(Rc::clone(node)));
     tasks.spawn_local(keep_metrics(Rc::clone(node)));
     tasks
 }
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -89,6 +89,18 @@
         members
     }
 
+    /// Whether this run of an instance was heard of within the last seconds.
+    pub fn is_live(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        let own = self.own.borrow();
+        if *instance == own.instance {
+            return incarnation == own.incarnation;
+        }
+        let now = self.clock.now();
+        self.known.borrow().get(instance).is_some_and(|known| {
+            known.member.incarnation == incarnation && known.heard_within(now, DEAD_AFTER_MS)
+        })
+    }
+
     pub fn member(&self, instance: &InstanceId) -> Option<Member> {
         self.known.borrow().get(instance).map(|known| known.member.clone())
     }
--- a/src/serve/claim.rs
+++ b/src/serve/claim.rs
@@ -1,18 +1,29 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock::Clock;
 use crate::gateway::Node;
 use crate::peer::{PeerError, RequestClaim};
 use crate::route::{Holder, find_holder};
+use crate::serve::live_claims::LiveClaim;
 use crate::serve::{Call, CallError};
-use crate::units::{AttemptId, OrganisationId, RequestId, ShardId};
+use crate::units::{AttemptId, Fencing, OrganisationId, RequestId, ShardId};
 
-/// Tries to claim while the ownership of the shard changes.
-const MAX_TRIES: u32 = 20;
+/// Pause before the holder is asked again, while the ownership of the shard changes.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Tries to deliver the end of a claim. A claim whose end is not delivered stays until this
+/// instance ends.
+const MAX_FINISH_TRIES: u32 = 100;
 
-/// A request id that this instance answers; repeats through any instance are refused.
+/// A request id that this instance answers; repeats through any instance are refused. A claim
+/// that is dropped, since its caller left, ends as not completed.
 pub struct ClaimedRequest {
+    id: ClaimId,
+    is_open: bool,
+}
+
+#[derive(Clone)]
+struct ClaimId {
     node: Rc<Node>,
     organisation: OrganisationId,
     request: RequestId,
@@ -20,67 +31,99 @@
 }
 
 impl ClaimedRequest {
-    /// Claims the caller's request id, if it sent one.
+    /// Claims the caller's request id, if it sent one. Waits for a holder until the end of the
+    /// request's queue time.
     pub async fn claim(node: &Rc<Node>, call: &Call) -> Result<Option<ClaimedRequest>, CallError> {
         let Some(request) = call.request.clone() else { return Ok(None) };
-        let claimed = ClaimedRequest {
-            node: Rc::clone(node),
-            organisation: call.organisation.clone(),
-            request,
-            attempt: node.live.next_id(),
-        };
-        for _ in 0..MAX_TRIES {
-            match claimed.ask().await {
-                Ok(RequestClaim::Claimed) => return Ok(Some(claimed)),
-                Ok(RequestClaim::Held { attempt, .. }) if attempt == claimed.attempt => {
+        let organisation = call.organisation.clone();
+        let attempt = node.live.next_id();
+        let id = ClaimId { node: Rc::clone(node), organisation, request, attempt };
+        let mut claimed = ClaimedRequest { id, is_open: true };
+        loop {
+            match claimed.id.ask().await {
+                Ok((RequestClaim::Claimed, fencing)) => {
+                    claimed.id.note_live(fencing);
                     return Ok(Some(claimed));
                 }
-                Ok(RequestClaim::Held { completed, .. }) => {
+                Ok((RequestClaim::Held { completed, .. }, _)) => {
+                    claimed.is_open = false;
                     return Err(CallError::DuplicateRequest { completed });
                 }
-                Ok(RequestClaim::NotHolder(known)) => {
-                    if let Some(holding) = known {
-                        node.leases.learn(holding);
-                    }
+                Ok((RequestClaim::NotHolder(known), _)) => {
+                    known.into_iter().for_each(|holding| node.leases.learn(holding));
                 }
                 Err(error) => log::debug!(target: "serve", "claim not answered: {error}"),
             }
+            if node.clock.now() >= call.queue_deadline {
+                return Err(CallError::BudgetUnreachable { retry_after_ms: 1_000 });
+            }
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        Err(CallError::BudgetUnreachable { retry_after_ms: 1_000 })
     }
 
-    async fn ask(&self) -> Result<RequestClaim, PeerError> {
+    /// Ends the claim. If the answer was not completed, a repeat of the request may run.
+    pub async fn finish(mut self, completed: bool) {
+        self.is_open = false;
+        if let Err(error) = self.id.finish(completed).await {
+            log::debug!(target: "serve", "end of claim not delivered: {error}");
+            tokio::task::spawn_local(self.id.clone().finish_later(completed));
+        }
+    }
+}
+
+impl Drop for ClaimedRequest {
+    fn drop(&mut self) {
+        if self.is_open {
+            tokio::task::spawn_local(self.id.clone().finish_later(false));
+        }
+    }
+}
+
+impl ClaimId {
+    /// Asks the holder and returns its answer with its fencing number.
+    async fn ask(&self) -> Result<(RequestClaim, Fencing), PeerError> {
+        let (organisation, request) = (&self.organisation, &self.request);
         match find_holder(&self.node, &self.shard()).await? {
-            Holder::Own(_) => {
-                let claim =
-                    self.node.claims.claim(&self.organisation, &self.request, &self.attempt);
-                Ok(claim.into())
+            Holder::Own(held) => {
+                let claim = self.node.claims.claim(organisation, request, &self.attempt);
+                Ok((claim.into(), held.fencing))
             }
-            Holder::Peer(client, _) => {
-                client.claim_request(&self.organisation, &self.request, &self.attempt).await
+            Holder::Peer(client, holding) => {
+                let claim = client.claim_request(organisation, request, &self.attempt).await?;
+                Ok((claim, holding.fencing))
             }
         }
     }
 
-    /// Ends the claim. If the answer was not completed, a repeat of the request may run.
-    pub async fn finish(self, completed: bool) {
+    fn note_live(&self, fencing: Fencing) {
+        let (organisation, request) = (self.organisation.clone(), self.request.clone());
+        self.node.live_claims.insert(&self.attempt, LiveClaim { organisation, request, fencing });
+    }
+
+    async fn finish(&self, completed: bool) -> Result<(), PeerError> {
+        self.node.live_claims.remove(&self.attempt);
         let (organisation, request) = (&self.organisation, &self.request);
-        let finished = match find_holder(&self.node, &self.shard()).await {
-            Ok(Holder::Own(_)) => {
+        match find_holder(&self.node, &self.shard()).await? {
+            Holder::Own(_) => {
                 self.node.claims.finish(organisation, request, &self.attempt, completed);
                 Ok(())
             }
-            Ok(Holder::Peer(client, _)) => {
+            Holder::Peer(client, _) => {
                 client.finish_request(organisation, request, &self.attempt, completed).await
             }
-            Err(error) => Err(error),
-        };
-        if let Err(error) = finished {
-            log::debug!(target: "serve", "end of claim not delivered: {error}");
         }
     }
 
+    async fn finish_later(self, completed: bool) {
+        for _ in 0..MAX_FINISH_TRIES {
+            if self.finish(completed).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+        log::warn!(target: "serve", "end of claim {} not delivered", self.attempt);
+    }
+
     fn shard(&self) -> ShardId {
         ShardId::of_organisation(&self.organisation, crate::gateway::BUDGET_SHARDS)
     }
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -72,3 +72,20 @@
     assert_eq!(claims.claim(&organisation, &live, &second), ClaimAnswer::Claimed);
     assert_eq!(claims.claim(&organisation, &live, &first), held(&second, false));
 }
+
+/// Guards against a request that runs again because its end reached a holder that is new and has
+/// not heard of the claim, and against claims of a dead run that nobody releases.
+#[tokio::test(start_paused = true)]
+async fn an_end_without_a_claim_is_kept_and_claimants_are_known() {
+    let claims = RequestClaims::new(TokioClock::new());
+    let (organisation, request) = names();
+    let (first, second) = (attempt("a", 1, 1), attempt("b", 1, 1));
+    claims.finish(&organisation, &request, &first, true);
+    assert_eq!(claims.claim(&organisation, &request, &second), held(&first, true));
+    assert!(claims.claimants().is_empty());
+    let live = RequestId::new("live");
+    claims.finish(&organisation, &live, &first, false);
+    assert_eq!(claims.claim(&organisation, &live, &second), ClaimAnswer::Claimed);
+    let claimants: Vec<_> = claims.claimants().into_iter().collect();
+    assert_eq!(claimants, [(second.instance.clone(), second.incarnation)]);
+}
