--- a/src/bench/address_book.rs
+++ b/src/bench/address_book.rs
@@ -63,10 +63,18 @@
         self.seeds[0].clone()
     }
 
-    /// Asks the seeds in turn until one answers.
+    /// Asks the instances of the last answer and the seeds in turn until one answers.
     async fn ask(&self, first: usize) {
-        for i in 0..self.seeds.len() {
-            let seed = &self.seeds[(first + i) % self.seeds.len()];
+        let kept = self.kept.borrow().answer.addresses.clone();
+        let mut asked: Vec<SmolStr> = kept.into_iter().map(|weighted| weighted.address).collect();
+        let known = asked.len();
+        if known > 0 {
+            asked.rotate_left(first % known);
+        }
+        let mut seeds = self.seeds.to_vec();
+        seeds.rotate_left(first % self.seeds.len());
+        asked.append(&mut seeds);
+        for seed in asked {
             let client = HttpClient::new(seed.clone());
             let asked = client.call::<_, Answer>(Method::GET, "/v1/addresses", &(), ASK_TIMEOUT);
             if let Ok(answer) = asked.await {
--- a/src/bench/check.rs
+++ b/src/bench/check.rs
@@ -1,7 +1,10 @@
 //! Checks from outside: what callers got and what the stand-ins saw.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use smol_str::{SmolStr, format_smolstr};
+
 use crate::bench::report::Bound;
 use crate::bench::{BenchError, CallRecord, Ending, Fleet, Report};
 use crate::standin::{EngineStats, PlainStats, expected_length, expected_token};
@@ -88,6 +91,61 @@
     records.iter().filter(|record| matches!(record.ending, Ending::Cut { .. })).count()
 }
 
+/// Largest excess of one organisation's tokens over burst + rate × interval, over all intervals.
+/// A request counts in an interval that contains its sending and its first token, since it was
+/// certainly admitted between the two.
+pub fn largest_excess(records: &[&CallRecord], rate_tokens_per_s: u64, burst_tokens: u64) -> f64 {
+    let admitted: Vec<(u64, u64, u64)> = records
+        .iter()
+        .filter(|record| record.is_complete())
+        .filter_map(|record| {
+            let first_token_at_ms = record.sent_at_ms + record.first_token_ms?;
+            let tokens = record.prompt_tokens + record.output_tokens;
+            Some((record.sent_at_ms, first_token_at_ms, tokens))
+        })
+        .collect();
+    let mut largest = f64::NEG_INFINITY;
+    for (from_ms, ..) in &admitted {
+        let mut inside: Vec<(u64, u64)> = admitted
+            .iter()
+            .filter(|(sent, ..)| sent >= from_ms)
+            .map(|(_, first, tokens)| (*first, *tokens))
+            .collect();
+        inside.sort_unstable();
+        let mut sum = 0;
+        for (until_ms, tokens) in inside {
+            sum += tokens;
+            let interval_s = (until_ms - from_ms) as f64 / 1000.0;
+            let allowed = burst_tokens as f64 + rate_tokens_per_s as f64 * interval_s;
+            largest = largest.max(sum as f64 - allowed);
+        }
+    }
+    largest
+}
+
+/// How often requests ended in each way.
+pub fn count_endings<'a>(
+    records: impl IntoIterator<Item = &'a CallRecord>,
+) -> BTreeMap<SmolStr, usize> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        let name = match &record.ending {
+            Ending::Complete => "complete".into(),
+            Ending::Refused { code, .. } => code.clone(),
+            Ending::Cut { code } => format_smolstr!("cut {code}"),
+            Ending::NoAnswer => "no answer".into(),
+            Ending::Cancelled => "cancelled".into(),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+pub fn describe_endings(counts: &BTreeMap<SmolStr, usize>) -> String {
+    let parts: Vec<String> = counts.iter().map(|(name, count)| format!("{count} {name}")).collect();
+    parts.join(", ")
+}
+
 /// The value below which `share` of the values lie.
 pub fn quantile(mut values: Vec<f64>, share: f64) -> f64 {
     values.sort_by(f64::total_cmp);
--- /dev/null
+++ b/src/bench/experiments/kill.rs
@@ -0,0 +1,165 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::bench::check::{check_invariants, count_endings, describe_endings};
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::resend::{LoadSwitch, send_resending};
+use crate::bench::{AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Report};
+
+/// Takeover from a dead owner, as the acceptance thresholds state it.
+const TAKEOVER_LIMIT_MS: f64 = 5_000.0;
+/// Time given to a takeover before it counts as failed.
+const TAKEOVER_PATIENCE: Duration = Duration::from_secs(12);
+const POLL: Duration = Duration::from_millis(50);
+/// How long callers send a request again: longer than a takeover and the wait for old grants.
+const CALLER_PATIENCE: Duration = Duration::from_secs(15);
+/// Gateways that are killed; the others are the seeds of callers.
+const VICTIMS: usize = 3;
+
+/// Kills gateways at random moments under load and replaces each once its shards are taken over.
+pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
+    let mut fleet = super::small_fleet(options).start().await?;
+    let streams = super::light_load(options, 12.0);
+    let caller = Caller::default();
+    let book = AddressBook::new(fleet.addresses());
+    let switch = LoadSwitch::default();
+    let load = send_resending(&caller, &book, &streams, &switch, CALLER_PATIENCE, options.seed);
+    let kills = async {
+        let killed = kill_for(&mut fleet, options, report).await;
+        switch.stop();
+        killed
+    };
+    let (requests, takeovers) = tokio::join!(load, kills);
+    report_takeovers(&takeovers?, report);
+    report_requests(&requests, report);
+    let records: Vec<CallRecord> = requests.into_iter().flatten().collect();
+    check_invariants(&fleet, &records, report).await
+}
+
+/// Returns the time of each takeover in milliseconds.
+async fn kill_for(
+    fleet: &mut Fleet,
+    options: &Options,
+    report: &Report,
+) -> Result<Vec<f64>, BenchError> {
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let end = Instant::now() + options.load;
+    let mut takeovers = Vec::new();
+    while takeovers.is_empty() || Instant::now() < end {
+        let wait_ms = random.random_range(800..2_500);
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        let victim = random.random_range(0..VICTIMS);
+        let survivors = fleet.addresses_without(victim);
+        let name = fleet.gateways[victim].name().clone();
+        let held = held_by(fleet, &survivors, &name).await;
+        fleet.gateways[victim].kill();
+        let killed_at = Instant::now();
+        let took = wait_for_takeover(fleet, &survivors, &name, &held, killed_at).await;
+        report.progress(&format!("{name} killed, its {} shards taken over", held.len()));
+        takeovers.extend(took);
+        fleet.replace_gateway(victim).await?;
+    }
+    Ok(takeovers)
+}
+
+/// Fencing numbers of the shards that an instance holds, as any of the others knows them.
+pub(super) async fn held_by(
+    fleet: &Fleet,
+    askable: &[SmolStr],
+    name: &str,
+) -> BTreeMap<String, u64> {
+    let mut held = BTreeMap::new();
+    for address in askable {
+        let Ok(status) = fleet.status(address).await else { continue };
+        for holder in status["holders"].as_array().into_iter().flatten() {
+            let shard = holder["shard"].as_str().unwrap_or_default().to_owned();
+            let fencing = holder["fencing"].as_u64().unwrap_or_default();
+            if holder["holder"] == name {
+                held.insert(shard, fencing);
+            }
+        }
+    }
+    held
+}
+
+/// Milliseconds until each of the shards had a new holder; infinite for those that got none.
+async fn wait_for_takeover(
+    fleet: &Fleet,
+    survivors: &[SmolStr],
+    name: &str,
+    held: &BTreeMap<String, u64>,
+    killed_at: Instant,
+) -> Vec<f64> {
+    let mut left = held.clone();
+    let mut took = Vec::new();
+    while !left.is_empty() && killed_at.elapsed() < TAKEOVER_PATIENCE {
+        for address in survivors {
+            let Ok(status) = fleet.status(address).await else { continue };
+            for holder in status["holders"].as_array().into_iter().flatten() {
+                let shard = holder["shard"].as_str().unwrap_or_default();
+                let fencing = holder["fencing"].as_u64().unwrap_or_default();
+                let is_new = left.get(shard).is_some_and(|old| fencing > *old);
+                if is_new && holder["holder"] != name {
+                    left.remove(shard);
+                    took.push(killed_at.elapsed().as_millis() as f64);
+                }
+            }
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    took.extend(left.iter().map(|_| f64::INFINITY));
+    took
+}
+
+fn report_takeovers(takeovers: &[f64], report: &mut Report) {
+    let longest = takeovers.iter().copied().fold(0.0, f64::max);
+    report.bounded("shards taken over", takeovers.len() as f64, "shards", Bound::AtLeast(1.0));
+    report.bounded("longest takeover", longest, "ms", Bound::AtMost(TAKEOVER_LIMIT_MS));
+}
+
+/// Checks requests of which each may have been sent several times.
+pub(super) fn report_requests(requests: &[Vec<CallRecord>], report: &mut Report) {
+    let none = Bound::AtMost(0.0);
+    let answers = |tries: &&Vec<CallRecord>| tries.iter().filter(|r| r.is_complete()).count();
+    let twice = requests.iter().filter(|tries| answers(tries) > 1).count();
+    let answered = requests.iter().filter(|tries| answers(tries) == 1).count();
+    // A repeat of a request whose answer was complete, but lost with its connection.
+    let is_lost = |tries: &&Vec<CallRecord>| {
+        matches!(tries.last().map(|last| &last.ending),
+            Some(Ending::Refused { code, .. }) if code == "duplicate_request")
+    };
+    let lost = requests.iter().filter(is_lost).count();
+    let broken = requests.iter().filter(|tries| tries.iter().any(is_broken)).count();
+    let longest = requests.iter().map(|tries| longest_ms(tries)).max().unwrap_or(0);
+    let unanswered = requests.len() - answered - twice - lost;
+    report.value(PRODUCT, "requests", requests.len() as f64, "requests");
+    report.value(PRODUCT, "requests with a broken connection", broken as f64, "requests");
+    report.value(PRODUCT, "first tries refused", first_refused(requests) as f64, "requests");
+    report.value(PRODUCT, "longest time to the answer", longest as f64, "ms");
+    report.bounded("requests answered twice", twice as f64, "requests", none);
+    report.bounded("repeats refused for good", lost as f64, "requests", none);
+    report.bounded("requests never answered", unanswered as f64, "requests", none);
+    let records: Vec<&CallRecord> = requests.iter().flatten().collect();
+    report.progress(&describe_endings(&count_endings(records)));
+}
+
+fn is_broken(record: &CallRecord) -> bool {
+    matches!(record.ending, Ending::NoAnswer | Ending::Cut { .. })
+}
+
+fn first_refused(requests: &[Vec<CallRecord>]) -> usize {
+    let is_refused = |r: &CallRecord| matches!(r.ending, Ending::Refused { .. });
+    requests.iter().filter(|tries| tries.first().is_some_and(is_refused)).count()
+}
+
+fn longest_ms(tries: &[CallRecord]) -> u64 {
+    match (tries.first(), tries.last()) {
+        (Some(first), Some(last)) => last.ended_at_ms - first.sent_at_ms,
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/src/bench/experiments/store_outage.rs
@@ -0,0 +1,242 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hyper::Method;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::kill::held_by;
+use crate::bench::check::{check_invariants, count_endings, describe_endings, largest_excess};
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::resend::{LoadSwitch, send_resending};
+use crate::bench::{AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Report};
+use crate::gateway::BUDGET_SHARDS;
+use crate::standin::PlatformFaults;
+use crate::units::{OrganisationId, ShardId};
+
+/// The platform's table may be gone for longer than the leases last.
+const SHORTEST_OUTAGE: Duration = Duration::from_secs(5);
+/// Rate and burst of the first organisation, which sends more than its rate.
+const TIGHT_RATE: (u64, u64) = (300, 1_000);
+const WIDE_RATE: (u64, u64) = (1_000_000, 4_000_000);
+const IN_FORCE_LIMIT_MS: f64 = 3_000.0;
+const PATIENCE: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(50);
+/// Requests refused or cut while the store is down and their owners live.
+const LEAST_SERVED_SHARE: f64 = 0.99;
+
+/// What happens to one gateway during the outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Victim {
+    None,
+    Killed,
+    /// Frozen for longer than a lease lasts.
+    Paused,
+}
+
+struct Outage {
+    begun_at_ms: u64,
+    ended_at_ms: u64,
+    /// Shards that the victim held, by name.
+    victims_shards: BTreeMap<String, u64>,
+    moved_leases: usize,
+    accepted_edits: usize,
+    in_force_ms: f64,
+}
+
+/// The platform goes down under load, then is slow, then loses answers.
+pub async fn run(options: &Options, victim: Victim, report: &mut Report) -> Result<(), BenchError> {
+    let organisations = options.deployment.organisations();
+    let mut rates = vec![WIDE_RATE; organisations.len()];
+    rates[0] = TIGHT_RATE;
+    let fleet = super::small_fleet(options).rates(rates).start().await?;
+    let mut streams = super::light_load(options, 12.0);
+    streams[0].requests_per_s *= 3.0;
+    let caller = Caller::default();
+    let book = AddressBook::new(fleet.addresses());
+    let switch = LoadSwitch::default();
+    let load = send_resending(&caller, &book, &streams, &switch, Duration::ZERO, options.seed);
+    let faults = async {
+        let outage = outage(&fleet, options, victim, &caller, report).await;
+        switch.stop();
+        outage
+    };
+    let (requests, outage) = tokio::join!(load, faults);
+    let outage = outage?;
+    let records: Vec<CallRecord> = requests.into_iter().flatten().collect();
+    report_outage(&outage, report);
+    report_service(&records, &outage, organisations[0], report);
+    let tight: Vec<&CallRecord> =
+        records.iter().filter(|record| record.organisation == organisations[0]).collect();
+    let served: u64 = tight.iter().map(|record| record.prompt_tokens + record.output_tokens).sum();
+    report.value(PRODUCT, "tokens of the limited organisation", served as f64, "tokens");
+    let excess = largest_excess(&tight, TIGHT_RATE.0, TIGHT_RATE.1);
+    let none = Bound::AtMost(0.0);
+    report.bounded("tokens above burst + rate x interval", excess, "tokens", none);
+    check_invariants(&fleet, &records, report).await
+}
+
+async fn outage(
+    fleet: &Fleet,
+    options: &Options,
+    victim: Victim,
+    caller: &Caller,
+    report: &Report,
+) -> Result<Outage, BenchError> {
+    let quarter = options.load / 4;
+    tokio::time::sleep(quarter).await;
+    let index = choose_victim(fleet).await;
+    let addresses = match victim {
+        Victim::None => fleet.addresses(),
+        _ => fleet.addresses_without(index),
+    };
+    let name = fleet.gateways[index].name().clone();
+    let victims_shards = match victim {
+        Victim::None => BTreeMap::new(),
+        _ => held_by(fleet, &addresses, &name).await,
+    };
+    let mut before = holders(fleet, &addresses).await;
+    before.retain(|shard, _| !victims_shards.contains_key(shard));
+    let begun_at_ms = caller.elapsed_ms();
+    set_faults(fleet, PlatformFaults { down: true, ..Default::default() }).await?;
+    report
+        .progress(&format!("store down, {} shards on a gateway {victim:?}", victims_shards.len()));
+    let mut accepted_edits = 0;
+    let gateway = &fleet.gateways[index];
+    match victim {
+        Victim::None => {}
+        Victim::Killed => gateway.kill(),
+        Victim::Paused => gateway.pause(),
+    }
+    let down = (options.load / 2).max(SHORTEST_OUTAGE);
+    tokio::time::sleep(down / 2).await;
+    accepted_edits += usize::from(add_key(fleet, &addresses[0], "during").await);
+    tokio::time::sleep(down / 2).await;
+    if victim == Victim::Paused {
+        gateway.resume();
+    }
+    let ended_at_ms = caller.elapsed_ms();
+    let slow = PlatformFaults { delay_ms: 300, ..Default::default() };
+    set_faults(fleet, slow).await?;
+    tokio::time::sleep(quarter / 2).await;
+    let losing = PlatformFaults { lose_answer_permille: 200, ..Default::default() };
+    set_faults(fleet, losing).await?;
+    tokio::time::sleep(quarter / 2).await;
+    let after = holders(fleet, &addresses).await;
+    let moved = before.iter().filter(|(shard, holder)| after.get(*shard) != Some(holder));
+    let moved_leases = moved.count();
+    set_faults(fleet, PlatformFaults::default()).await?;
+    let in_force_ms = wait_for_edit(fleet, &addresses).await;
+    Ok(Outage {
+        begun_at_ms,
+        ended_at_ms,
+        victims_shards,
+        moved_leases,
+        accepted_edits,
+        in_force_ms,
+    })
+}
+
+async fn set_faults(fleet: &Fleet, faults: PlatformFaults) -> Result<(), BenchError> {
+    fleet.set_faults(&fleet.platform, &faults).await
+}
+
+/// A gateway that holds budgets, and no pool if there is such a one, so that pools remain.
+async fn choose_victim(fleet: &Fleet) -> usize {
+    let addresses = fleet.addresses();
+    let mut best = (usize::MAX, 0);
+    for (index, gateway) in fleet.gateways.iter().enumerate() {
+        let held = held_by(fleet, &addresses, gateway.name()).await;
+        let pools = held.keys().filter(|shard| shard.starts_with("pool/")).count();
+        if held.len() > pools && pools < best.0 {
+            best = (pools, index);
+        }
+    }
+    best.1
+}
+
+/// Holder and fencing number of each shard, the newest that any gateway knows.
+async fn holders(fleet: &Fleet, addresses: &[SmolStr]) -> BTreeMap<String, (u64, String)> {
+    let mut holders: BTreeMap<String, (u64, String)> = BTreeMap::new();
+    for address in addresses {
+        let Ok(status) = fleet.status(address).await else { continue };
+        for holder in status["holders"].as_array().into_iter().flatten() {
+            let shard = holder["shard"].as_str().unwrap_or_default().to_owned();
+            let name = holder["holder"].as_str().unwrap_or_default().to_owned();
+            let known = holders.entry(shard).or_default();
+            *known = known.clone().max((holder["fencing"].as_u64().unwrap_or_default(), name));
+        }
+    }
+    holders
+}
+
+/// Whether the edit was accepted.
+async fn add_key(fleet: &Fleet, gateway: &SmolStr, name: &str) -> bool {
+    let organisation = fleet.document.deployment.organisations()[1];
+    let path = format!("organisations/{organisation}/keys/{name}");
+    fleet.admin(gateway, Method::POST, &path, Default::default()).await.is_ok()
+}
+
+/// Milliseconds from the end of the faults until an edit was in force on all gateways.
+async fn wait_for_edit(fleet: &Fleet, addresses: &[SmolStr]) -> f64 {
+    let begun_at = Instant::now();
+    let mut tries = 0;
+    while !add_key(fleet, &addresses[0], &format!("after-{tries}")).await {
+        tries += 1;
+        if begun_at.elapsed() > PATIENCE {
+            return f64::INFINITY;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    let Ok(status) = fleet.status(&addresses[0]).await else { return f64::INFINITY };
+    let version = status["version"].as_u64();
+    for address in addresses {
+        while !fleet.status(address).await.is_ok_and(|status| {
+            status["version"].as_u64() >= version && status["is_confirmed"] == true
+        }) {
+            if begun_at.elapsed() > PATIENCE {
+                return f64::INFINITY;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+    begun_at.elapsed().as_millis() as f64
+}
+
+fn report_outage(outage: &Outage, report: &mut Report) {
+    let none = Bound::AtMost(0.0);
+    let length_ms = (outage.ended_at_ms - outage.begun_at_ms) as f64;
+    report.value(PRODUCT, "time without the store", length_ms, "ms");
+    let moved = outage.moved_leases as f64;
+    report.bounded("leases of live holders moved", moved, "shards", none);
+    report.bounded("edits accepted in the outage", outage.accepted_edits as f64, "edits", none);
+    let limit = Bound::AtMost(IN_FORCE_LIMIT_MS);
+    report.bounded("edit in force after the outage", outage.in_force_ms, "ms", limit);
+}
+
+/// Service of organisations within their rate whose budget has a live owner.
+fn report_service(records: &[CallRecord], outage: &Outage, tight: &str, report: &mut Report) {
+    let has_owner = |name: &SmolStr| {
+        let organisation = OrganisationId::new(name.clone());
+        let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+        !outage.victims_shards.contains_key(&shard.to_string())
+    };
+    let in_outage = outage.begun_at_ms..outage.ended_at_ms;
+    let sent: Vec<&CallRecord> = records
+        .iter()
+        .filter(|record| in_outage.contains(&record.sent_at_ms))
+        .filter(|record| record.organisation != tight && has_owner(&record.organisation))
+        .filter(|record| outage.victims_shards.is_empty() || !is_broken(record))
+        .collect();
+    let complete = sent.iter().filter(|record| record.is_complete()).count();
+    let share = complete as f64 / sent.len().max(1) as f64;
+    report.progress(&describe_endings(&count_endings(sent.iter().copied())));
+    report.bounded("requests in the outage", sent.len() as f64, "requests", Bound::AtLeast(10.0));
+    let least = Bound::AtLeast(LEAST_SERVED_SHARE);
+    report.bounded("of them answered", share, "share", least);
+}
+
+/// Broken by the death or silence of the caller's gateway.
+fn is_broken(record: &CallRecord) -> bool {
+    matches!(record.ending, Ending::NoAnswer | Ending::Cut { .. })
+}
--- /dev/null
+++ b/src/bench/experiments/withdraw.rs
@@ -0,0 +1,125 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Method;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use smol_str::SmolStr;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::bench::check::{check_invariants, count_endings, describe_endings};
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::resend::LoadSwitch;
+use crate::bench::{BenchError, CallRecord, Caller, Ending, Options, Report, Stream, draw_prompt};
+
+/// A revoked key stops working everywhere within this time.
+const WITHDRAWN_LIMIT_MS: u64 = 3_000;
+/// Callers go on for this long after the last withdrawal.
+const AFTERMATH: Duration = Duration::from_secs(5);
+const PAUSE_BETWEEN_REQUESTS: Duration = Duration::from_millis(20);
+/// Callers begin one after another. All at once would exceed what engines that have just started
+/// get from their pool's owner, and some would rightly be refused.
+const PAUSE_BETWEEN_CALLERS: Duration = Duration::from_millis(60);
+/// Organisations whose keys are withdrawn; the others must not notice.
+const WITHDRAWN: usize = 3;
+
+/// Withdraws keys while their callers send without pause over connections to all gateways.
+pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
+    let fleet = super::small_fleet(options).start().await?;
+    let organisations = options.deployment.organisations();
+    let caller = Caller::default();
+    let records = Rc::new(RefCell::new(Vec::new()));
+    let switch = LoadSwitch::default();
+    let mut callers = JoinSet::new();
+    let begun_at = Instant::now();
+    for (i, organisation) in organisations.iter().enumerate() {
+        for (j, address) in fleet.addresses().into_iter().enumerate() {
+            let mut stream = Stream::new(*organisation, 1.0);
+            stream.prompt_words = (20, 60);
+            stream.max_tokens = (5, 30);
+            let seed = options.seed ^ (((i * 100 + j) as u64 + 1) << 32);
+            let (records, switch) = (Rc::clone(&records), switch.clone());
+            let sent = send_without_pause(caller.clone(), address, stream, seed, switch, records);
+            let begin = begun_at + PAUSE_BETWEEN_CALLERS * callers.len() as u32;
+            callers.spawn_local(async move {
+                tokio::time::sleep_until(begin).await;
+                sent.await;
+            });
+        }
+    }
+    let mut withdrawals: Vec<(SmolStr, u64)> = Vec::new();
+    let addresses = fleet.addresses();
+    for (i, organisation) in organisations.iter().take(WITHDRAWN).enumerate() {
+        let at = options.load / (WITHDRAWN as u32 + 1) * (i as u32 + 1);
+        tokio::time::sleep_until(begun_at + at).await;
+        let path = format!("organisations/{organisation}/keys/main");
+        fleet.admin(&addresses[i], Method::DELETE, &path, Default::default()).await?;
+        withdrawals.push(((*organisation).into(), caller.elapsed_ms()));
+    }
+    tokio::time::sleep_until((begun_at + options.load).max(Instant::now() + AFTERMATH)).await;
+    switch.stop();
+    while callers.join_next().await.is_some() {}
+    let records = records.take();
+    report.progress(&describe_endings(&count_endings(&records)));
+    report_withdrawals(&records, &withdrawals, report);
+    check_invariants(&fleet, &records, report).await
+}
+
+async fn send_without_pause(
+    caller: Caller,
+    address: SmolStr,
+    stream: Stream,
+    seed: u64,
+    switch: LoadSwitch,
+    records: Rc<RefCell<Vec<CallRecord>>>,
+) {
+    let mut random = StdRng::seed_from_u64(seed);
+    for number in 1.. {
+        if switch.is_stopped() {
+            return;
+        }
+        let prompt = draw_prompt(&stream, number, &mut random);
+        let record = caller.complete(&address, &prompt).await;
+        records.borrow_mut().push(record);
+        tokio::time::sleep(PAUSE_BETWEEN_REQUESTS).await;
+    }
+}
+
+fn report_withdrawals(records: &[CallRecord], withdrawals: &[(SmolStr, u64)], report: &mut Report) {
+    let none = Bound::AtMost(0.0);
+    let is_unknown = |record: &CallRecord| matches!(&record.ending, Ending::Refused { code, .. } if code == "unknown_key");
+    let (mut late, mut longest_ms, mut tested) = (0, 0, 0);
+    for (organisation, at_ms) in withdrawals {
+        let of_organisation = records.iter().filter(|r| r.organisation == *organisation);
+        for record in of_organisation.filter(|record| record.sent_at_ms > *at_ms) {
+            let after_ms = record.sent_at_ms - at_ms;
+            tested += usize::from(after_ms > WITHDRAWN_LIMIT_MS);
+            if is_unknown(record) {
+                continue;
+            }
+            longest_ms = longest_ms.max(after_ms);
+            late += usize::from(after_ms > WITHDRAWN_LIMIT_MS);
+        }
+    }
+    let withdrawn_at =
+        |name: &SmolStr| withdrawals.iter().find(|(other, _)| other == name).map(|(_, at)| *at);
+    let harmed = records.iter().filter(|record| match withdrawn_at(&record.organisation) {
+        // The key may be in force nowhere a little before the operator has the answer.
+        Some(_) => !record.is_complete() && !is_unknown(record),
+        None => !record.is_complete(),
+    });
+    let harmed: Vec<&CallRecord> = harmed.collect();
+    for record in harmed.iter().take(5) {
+        let CallRecord { ending, organisation, sent_at_ms, ended_at_ms, .. } = record;
+        report.progress(&format!("{organisation} {sent_at_ms} to {ended_at_ms} ms: {ending:?}"));
+    }
+    report.value(PRODUCT, "requests", records.len() as f64, "requests");
+    report.bounded("withdrawn keys", withdrawals.len() as f64, "keys", Bound::AtLeast(1.0));
+    let some = Bound::AtLeast(1.0);
+    report.bounded("requests sent over 3 s after", tested as f64, "requests", some);
+    report.bounded("of them not refused for their key", late as f64, "requests", none);
+    report.value(PRODUCT, "last request accepted after", longest_ms as f64, "ms");
+    report.bounded("other requests cut or refused", harmed.len() as f64, "requests", none);
+}
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -284,6 +284,13 @@
         self.gateways.iter().map(|gateway| gateway.address().clone()).collect()
     }
 
+    /// Addresses of all gateways but one.
+    pub fn addresses_without(&self, index: usize) -> Vec<SmolStr> {
+        let mut addresses = self.addresses();
+        addresses.remove(index);
+        addresses
+    }
+
     pub fn directory(&self) -> &PathBuf {
         &self.directory
     }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -17,6 +17,7 @@
 pub mod demo;
 pub mod experiments;
 pub mod report;
+pub mod resend;
 
 pub use address_book::AddressBook;
 pub use bench_error::BenchError;
--- /dev/null
+++ b/src/bench/resend.rs
@@ -0,0 +1,105 @@
+//! Callers that send again until they are answered.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::bench::{AddressBook, CallRecord, Caller, Ending, Prompt, Stream, draw_prompt};
+
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// A running load. Its requests end some time after it has been stopped.
+#[derive(Clone, Default)]
+pub struct LoadSwitch {
+    is_stopped: Rc<Cell<bool>>,
+}
+
+impl LoadSwitch {
+    pub fn stop(&self) {
+        self.is_stopped.set(true);
+    }
+
+    pub fn is_stopped(&self) -> bool {
+        self.is_stopped.get()
+    }
+}
+
+/// Sends the streams' requests until the switch stops them. A caller whose connection broke or
+/// whose request was refused without having run sends it again under the same request id, for
+/// as long as its patience lasts. Returns the records of all tries of each request.
+pub async fn send_resending(
+    caller: &Caller,
+    book: &AddressBook,
+    streams: &[Stream],
+    switch: &LoadSwitch,
+    patience: Duration,
+    seed: u64,
+) -> Vec<Vec<CallRecord>> {
+    let requests = Rc::new(RefCell::new(Vec::new()));
+    let mut senders = JoinSet::new();
+    for (i, stream) in streams.iter().cloned().enumerate() {
+        let mut random = StdRng::seed_from_u64(seed ^ ((i as u64 + 1) << 32));
+        let (caller, book, switch) = (caller.clone(), book.clone(), switch.clone());
+        let requests = Rc::clone(&requests);
+        senders.spawn_local(async move {
+            let mut running = JoinSet::new();
+            let mut at = Instant::now();
+            for number in 1.. {
+                let gap_s = -(1.0 - random.random::<f64>()).ln() / stream.requests_per_s;
+                at += Duration::from_secs_f64(gap_s);
+                tokio::time::sleep_until(at).await;
+                if switch.is_stopped() {
+                    break;
+                }
+                let prompt = draw_prompt(&stream, number, &mut random);
+                let (caller, book) = (caller.clone(), book.clone());
+                let requests = Rc::clone(&requests);
+                running.spawn_local(async move {
+                    let tries = complete_resending(&caller, &book, &prompt, patience).await;
+                    requests.borrow_mut().push(tries);
+                });
+                while running.try_join_next().is_some() {}
+            }
+            while running.join_next().await.is_some() {}
+        });
+    }
+    while senders.join_next().await.is_some() {}
+    requests.take()
+}
+
+/// Sends one request until it is answered; with no patience, once.
+async fn complete_resending(
+    caller: &Caller,
+    book: &AddressBook,
+    prompt: &Prompt,
+    patience: Duration,
+) -> Vec<CallRecord> {
+    let end = Instant::now() + patience;
+    let mut tries = Vec::new();
+    loop {
+        let address = book.choose(rand::random()).await;
+        let record = caller.complete(&address, prompt).await;
+        let is_last = !may_resend(&record.ending) || Instant::now() >= end;
+        tries.push(record);
+        if is_last {
+            return tries;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// A repeat is refused as a duplicate while the first attempt may still run.
+fn may_resend(ending: &Ending) -> bool {
+    match ending {
+        Ending::NoAnswer | Ending::Cut { .. } => true,
+        Ending::Refused { code, outcome, .. } => {
+            outcome == "not_run" || code == "duplicate_request"
+        }
+        Ending::Complete | Ending::Cancelled => false,
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,62 @@
+//! Experiments with a fleet of real processes, run short. Each checks its bounds itself.
+
+use std::process::Command;
+use std::sync::{Mutex, PoisonError};
+
+/// A fleet is a dozen processes with timing bounds, so that only one runs at a time.
+static ONE_FLEET: Mutex<()> = Mutex::new(());
+
+fn run(experiment: &str) {
+    let _alone = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let output = Command::new(env!("CARGO_BIN_EXE_almondroad-bench"))
+        .args(["run", experiment, "--seconds", "8", "--seed", "1", "--json"])
+        .output()
+        .unwrap();
+    let metrics = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{}: {metrics}{errors}", output.status);
+}
+
+/// Guards against shards that stay without an owner after a death, answers that are wrong or come
+/// twice, and request ids that a dead instance keeps claimed.
+#[test]
+fn killed_gateways_are_replaced() {
+    run("kill");
+}
+
+/// Guards against service, leases or budgets that depend on the platform's table.
+#[test]
+fn service_goes_on_while_the_store_is_down() {
+    run("store-outage");
+}
+
+/// Guards against a death during an outage of the table that harms the shards of live owners.
+#[test]
+fn a_gateway_dies_while_the_store_is_down() {
+    run("store-outage-kill");
+}
+
+/// Guards against an owner that goes on after it was frozen for longer than its leases.
+#[test]
+fn a_gateway_is_frozen_while_the_store_is_down() {
+    run("store-outage-pause");
+}
+
+/// Guards against a withdrawn key that works on over open connections or other instances.
+#[test]
+fn withdrawn_keys_stop_working() {
+    run("withdraw");
+}
+
+/// Guards against requests that a planned stop cuts, and against budgets that start empty after a
+/// handover.
+#[test]
+fn planned_stops_interrupt_no_request() {
+    run("stop");
+}
+
+/// Guards against accepted edits that are lost, reverted or late on some instance.
+#[test]
+fn racing_edits_are_in_force_everywhere() {
+    run("edits");
+}
