--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -3,8 +3,10 @@
 mod cancel;
 mod cold;
 mod crossed;
+mod edits;
 mod flood;
 mod halve;
+mod kill;
 mod measured;
 mod peak;
 mod poison;
@@ -13,10 +15,14 @@
 mod service_call;
 mod silent;
 mod slopes;
+mod stop;
+mod store_outage;
+mod withdraw;
 mod zone;
 
+use self::store_outage::Victim;
 use crate::bench::plot::plot;
-use crate::bench::{BenchError, CallRecord, Options, Report};
+use crate::bench::{BenchError, CallRecord, FleetBuilder, Options, Report, Stream};
 
 /// Name and purpose of each experiment.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
@@ -25,6 +31,13 @@
     ("zone", "an availability zone leaves under load and returns"),
     ("halve", "half of the endpoints leave under load and return"),
     ("cold", "decode endpoints turn cold without notice"),
+    ("kill", "gateways are killed and replaced under load"),
+    ("store-outage", "the platform is down, then slow, then loses answers"),
+    ("store-outage-kill", "a gateway dies while the platform is down"),
+    ("store-outage-pause", "a gateway is frozen for longer than its leases while it is down"),
+    ("withdraw", "keys are withdrawn while their callers send over open connections"),
+    ("stop", "planned stops of all gateways in turn under load"),
+    ("edits", "operators edit the document at the same time through different gateways"),
     ("poison", "a prompt that crashes engines, sent again and again"),
     ("silent", "open connections of engines and platform go silent"),
     ("crossed", "engines send events of other attempts, repeat events and cut streams"),
@@ -58,6 +71,13 @@
         "zone" => return zone::run(options, report).await,
         "halve" => return halve::run(options, report).await,
         "cold" => return cold::run(options, report).await,
+        "kill" => kill::run(options, report).await?,
+        "store-outage" => store_outage::run(options, Victim::None, report).await?,
+        "store-outage-kill" => store_outage::run(options, Victim::Killed, report).await?,
+        "store-outage-pause" => store_outage::run(options, Victim::Paused, report).await?,
+        "withdraw" => withdraw::run(options, report).await?,
+        "stop" => stop::run(options, report).await?,
+        "edits" => edits::run(options, report).await?,
         "poison" => poison::run(options, report).await?,
         "silent" => silent::run(options, report).await?,
         "crossed" => crossed::run(options, report).await?,
@@ -71,3 +91,24 @@
     }
     Ok(Vec::new())
 }
+
+/// A fleet for experiments where size does not matter.
+fn small_fleet(options: &Options) -> FleetBuilder {
+    FleetBuilder::new(options.programs.clone(), options.deployment)
+        .gateways(5)
+        .engines(2, 4)
+        .slices(2)
+        .plain_services(1)
+}
+
+/// Short requests of all organisations, far below the capacity of a small fleet.
+fn light_load(options: &Options, requests_per_s: f64) -> Vec<Stream> {
+    let organisations = options.deployment.organisations();
+    let each_per_s = requests_per_s / organisations.len() as f64;
+    let stream = |name: &&'static str| Stream {
+        prompt_words: (20, 200),
+        max_tokens: (10, 60),
+        ..Stream::new(*name, each_per_s)
+    };
+    organisations.iter().map(stream).collect()
+}
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -341,6 +341,13 @@
         self.builder.slots
     }
 
+    /// Addresses of all gateways but one.
+    pub fn addresses_without(&self, index: usize) -> Vec<SmolStr> {
+        let mut addresses = self.addresses();
+        addresses.remove(index);
+        addresses
+    }
+
     pub fn directory(&self) -> &PathBuf {
         &self.directory
     }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -21,6 +21,7 @@
 pub mod experiments;
 pub mod plot;
 pub mod report;
+pub mod resend;
 pub mod timeline;
 
 pub use address_book::AddressBook;
