--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -1,4 +1,3 @@
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,16 +25,13 @@
     outcome: Outcome,
 ) -> Result<(ShardId, Plan), CallError> {
     let mut retry_after_ms = 1_000;
-    let mut wait_ms: HashMap<ShardId, u64> = HashMap::new();
     let mut round = 0;
     loop {
         let crashes = node.suspects.crashes(call.fingerprint);
         if crashes >= MAX_CRASHES {
             return Err(CallError::CrashesEndpoints { outcome });
         }
-        let mut shards = pools_of_model(node, call);
-        // A request that must wait does so where the expected wait is shortest.
-        shards.sort_by_key(|shard| wait_ms.get(shard).copied().unwrap_or(0));
+        let shards = pools_of_model(node, call);
         if shards.is_empty() {
             return Err(CallError::NoEndpoint { outcome });
         }
@@ -67,7 +63,6 @@
                 Some(AdmitAnswer::Full { retry_after_ms: after_ms, free_slots }) => {
                     node.free_slots.note(shard, free_slots);
                     retry_after_ms = after_ms;
-                    wait_ms.insert(shard.clone(), after_ms);
                     is_refused_everywhere = false;
                 }
                 Some(AdmitAnswer::NoEndpoint) => {}
