Take the crash limit and the small fleet from where they stand

Cause: the number of crashes after which a request is refused stood in src/serve/run.rs and in Suspects, and three experiments repeated the settings of small_fleet. Change: both use the one definition; values are the same (2 crashes; 3 gateways, 2 prefill and 4 decode engines, 1 plain service, 2 slices). Without the change nothing fails.

--- a/src/bench/experiments/crossed.rs
+++ b/src/bench/experiments/crossed.rs
@@ -1,21 +1,13 @@
 use crate::bench::check::{check_invariants, cut_answers};
 use crate::bench::report::{Bound, PRODUCT};
-use crate::bench::{
-    AddressBook, BenchError, Caller, FleetBuilder, Options, Report, Stream, send_load,
-};
+use crate::bench::{AddressBook, BenchError, Caller, Options, Report, Stream, send_load};
 use crate::standin::EngineFaults;
 
 const REQUESTS_PER_S: f64 = 4.0;
 
 /// Engines send events of other attempts, repeat events, answer late and cut their streams.
 pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
-    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
-        .gateways(3)
-        .engines(2, 4)
-        .plain_services(1)
-        .slices(2)
-        .start()
-        .await?;
+    let fleet = super::small_fleet(options).gateways(3).start().await?;
     for (i, engine) in fleet.decode.iter().enumerate() {
         let i = i as u64;
         let faults = EngineFaults {
--- a/src/bench/experiments/poison.rs
+++ b/src/bench/experiments/poison.rs
@@ -7,8 +7,8 @@
 use crate::bench::check::{check_invariants, cut_answers};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::{
-    AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, FleetBuilder, Options, Process,
-    Prompt, Report, Stream, send_load,
+    AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Process, Prompt, Report,
+    Stream, send_load,
 };
 use crate::standin::EngineSettings;
 
@@ -31,13 +31,7 @@
     report: &mut Report,
     is_overlapping: bool,
 ) -> Result<(), BenchError> {
-    let mut fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
-        .gateways(3)
-        .engines(2, 4)
-        .plain_services(1)
-        .slices(2)
-        .start()
-        .await?;
+    let mut fleet = super::small_fleet(options).gateways(3).start().await?;
     let organisations = options.deployment.organisations();
     let streams = [
         Stream::new(organisations[0], REQUESTS_PER_S),
--- a/src/bench/experiments/silent.rs
+++ b/src/bench/experiments/silent.rs
@@ -5,8 +5,7 @@
 use crate::bench::check::{check_invariants, cut_answers};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::{
-    AddressBook, BenchError, CallRecord, Caller, Fleet, FleetBuilder, Options, Report, Stream,
-    send_load,
+    AddressBook, BenchError, CallRecord, Caller, Fleet, Options, Report, Stream, send_load,
 };
 use crate::standin::{EngineFaults, PlatformFaults};
 
@@ -18,13 +17,7 @@
 
 /// Open connections of the engines and of the platform go silent under load; new ones work.
 pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
-    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
-        .gateways(3)
-        .engines(2, 4)
-        .plain_services(1)
-        .slices(2)
-        .start()
-        .await?;
+    let fleet = super::small_fleet(options).gateways(3).start().await?;
     let organisations = options.deployment.organisations();
     let streams = [
         Stream::new(organisations[0], REQUESTS_PER_S),
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -4,19 +4,20 @@
 use tokio::sync::mpsc;
 
 use crate::budget::Charge;
-use crate::clock::Clock;
+use crate::clock::{BootClock, Clock};
 use crate::gateway::Node;
 use crate::pool::Plan;
 use crate::route;
 use crate::serve::attempt::{Attempt, AttemptError, Produced};
 use crate::serve::spread::spread_suspicions;
 use crate::serve::{Call, CallError, Outcome, RunEvent};
+use crate::suspect::Suspects;
 use crate::units::{AttemptId, EndpointId, ShardId};
 
 /// Attempts of one request without progress, resumptions included.
 const MAX_ATTEMPTS: u32 = 4;
 /// Requests that were running on this many endpoints when those died are refused.
-pub const MAX_CRASHES: u32 = 2;
+pub const MAX_CRASHES: u32 = Suspects::<BootClock>::REFUSED_CRASHES;
 
 /// Runs a request until its answer is whole, its caller has gone or it has failed. Resumes it on
 /// other endpoints at the token where it stopped.
