--- a/src/bench/experiments/kill.rs
+++ b/src/bench/experiments/kill.rs
@@ -18,6 +18,7 @@
 const POLL: Duration = Duration::from_millis(50);
 /// How long callers send a request again: longer than a takeover and the wait for old grants.
 const CALLER_PATIENCE: Duration = Duration::from_secs(15);
+const SHOWN_FAILURES: usize = 3;
 /// Gateways that are killed; the others are the seeds of callers.
 const VICTIMS: usize = 3;
 
@@ -135,6 +136,9 @@
     };
     let lost = requests.iter().filter(is_lost).count();
     let broken = requests.iter().filter(|tries| tries.iter().any(is_broken)).count();
+    for tries in requests.iter().filter(|tries| answers(tries) == 0).take(SHOWN_FAILURES) {
+        report.progress(&describe_tries(tries));
+    }
     let longest = requests.iter().map(|tries| longest_ms(tries)).max().unwrap_or(0);
     let unanswered = requests.len() - answered - twice - lost;
     report.value(PRODUCT, "requests", requests.len() as f64, "requests");
@@ -148,6 +152,19 @@
     report.progress(&describe_endings(&count_endings(records)));
 }
 
+fn describe_tries(tries: &[CallRecord]) -> String {
+    let describe = |r: &CallRecord| {
+        let ending = match &r.ending {
+            Ending::Refused { code, .. } => code.to_string(),
+            other => format!("{other:?}"),
+        };
+        format!("{} {} to {} ms {ending}", r.address, r.sent_at_ms, r.ended_at_ms)
+    };
+    let first = tries.first().map(|first| first.organisation.as_str()).unwrap_or_default();
+    let tries: Vec<String> = tries.iter().map(describe).collect();
+    format!("{first}: {}", tries.join("; "))
+}
+
 fn is_broken(record: &CallRecord) -> bool {
     matches!(record.ending, Ending::NoAnswer | Ending::Cut { .. })
 }
--- a/src/budget/local_grants.rs
+++ b/src/budget/local_grants.rs
@@ -21,7 +21,7 @@
 
 impl LocalGrants {
     /// Grants with less time left are given back with the next draw.
-    const RETURN_MS: u64 = 1_000;
+    const RETURN_MS: u64 = 500;
 
     pub fn left(&self) -> Tokens {
         self.grants.iter().map(|grant| grant.left).sum()
