Read the wall clock in one place and name the version gauge once

Cause: two copies of unix_time_s, and two gauges with the version in force. Change: the function moved to clock.rs; almondroad_config_version is gone, its value is that of almondroad_configuration_version.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,7 +2,7 @@
 //! instance that was paused finds its leases lapsed when it resumes.
 
 use std::fmt;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A point in time on this instance's clock, in milliseconds. Values of different instances are
 /// not comparable.
@@ -84,3 +84,8 @@
         Instant::from_ms(TokioClock::ORIGIN_MS + elapsed_ms)
     }
 }
+
+/// Wall-clock time for readers outside the system. Decisions use `Clock`.
+pub fn unix_time_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
+}
--- a/src/config/configuration.rs
+++ b/src/config/configuration.rs
@@ -143,7 +143,6 @@
             state.in_force = Rc::new(next);
         }
         self.versions.send_replace(version);
-        metrics::gauge!("almondroad_config_version").set(version.get() as f64);
         log::info!(target: LOG, "version {version} is in force");
     }
 
--- a/src/once/at_most_once.rs
+++ b/src/once/at_most_once.rs
@@ -1,8 +1,9 @@
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use smol_str::SmolStr;
 
+use crate::clock::unix_time_s;
 use crate::gateway::Node;
 use crate::http::HttpClient;
 use crate::once::{
@@ -215,7 +216,3 @@
     };
     Ok(PlainAnswer { status: stored.status, content_type: stored.content_type, body })
 }
-
-fn unix_time_s() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
-}
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -9,7 +9,7 @@
 use smol_str::ToSmolStr;
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, unix_time_s};
 use crate::config::Route;
 use crate::gateway::Node;
 use crate::http::{BrokenStream, ResponseBody};
@@ -240,7 +240,3 @@
     }
     Err(CallError::EngineFailed { outcome: Outcome::Run })
 }
-
-fn unix_time_s() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
-}
