--- a/src/cmd/fleet_status.rs
+++ b/src/cmd/fleet_status.rs
@@ -48,6 +48,35 @@
     pub is_up: bool,
     pub used_slots: u32,
     pub slot_limit: u32,
+    /// Role that the engine has.
+    pub role: SmolStr,
+    pub wanted_role: SmolStr,
+    pub next_order: Option<SmolStr>,
+    pub is_changing: bool,
+    pub waits_for: Option<SmolStr>,
+    pub failure: Option<SmolStr>,
+}
+
+impl EndpointEntry {
+    /// What is still to change, and what it waits for. `None` if the engine has what the document
+    /// wants.
+    pub fn change(&self) -> Option<String> {
+        let has_wanted = self.next_order.is_none() && self.role == self.wanted_role;
+        if has_wanted && !self.is_changing {
+            return None;
+        }
+        let step = match &self.next_order {
+            Some(order) => order.to_string(),
+            None => format!("role {}", self.wanted_role),
+        };
+        let state = match (&self.failure, &self.waits_for, self.is_changing) {
+            (Some(failure), ..) => format!("ORDER FAILED: {failure}"),
+            (None, Some(waits_for), _) => format!("waits for {waits_for}"),
+            (None, None, true) => "changing".into(),
+            (None, None, false) => "next".into(),
+        };
+        Some(format!("to {step}: {state}"))
+    }
 }
 
 impl FleetStatus {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -13,8 +13,9 @@
 usage: almondroad status
 
 Prints the live instances with their version in force, the owners of the shards, and the
-endpoints. An endpoint is warm when warm-up allows all its slots, and cold before. With --json,
-prints the answer of the instance that was asked.
+endpoints. An endpoint is warm when warm-up allows all its slots, and cold before. Endpoints whose
+role, model or adapters differ from the document are listed at the end with what they wait for.
+With --json, prints the answer of the instance that was asked.
 ";
 
 pub(super) async fn run(arguments: Arguments, options: &Options) -> Result<(), CmdError> {
@@ -37,13 +38,14 @@
     let store = if status.has_store { "reachable" } else { "NOT REACHABLE" };
     format!(
         "{} answers: version {} {confirmed}, store {store}, {} requests in flight\n\n\
-         instances:\n{}\nowners:\n{}\nendpoints:\n{}",
+         instances:\n{}\nowners:\n{}\nendpoints:\n{}{}",
         status.instance,
         status.version,
         status.requests_in_flight,
         instances(status),
         owners(status),
         endpoints(status, document),
+        changes(status),
     )
 }
 
@@ -103,6 +105,19 @@
     render_table(&columns, &rows.collect::<Vec<_>>())
 }
 
+/// A table of the endpoints that are to change; empty if there are none.
+fn changes(status: &FleetStatus) -> String {
+    let rows: Vec<Vec<String>> = status
+        .endpoints
+        .iter()
+        .filter_map(|entry| Some(vec![entry.endpoint.to_string(), entry.change()?]))
+        .collect();
+    if rows.is_empty() {
+        return String::new();
+    }
+    format!("\nchanges:\n{}", render_table(&["endpoint", "change"], &rows))
+}
+
 fn engine_row(
     id: SmolStr,
     engine: &EngineEndpoint,
@@ -114,6 +129,7 @@
         (Some(out), _) => out,
         (None, None) => "no owner",
         (None, Some(EndpointEntry { is_up: false, .. })) => "down",
+        (None, Some(EndpointEntry { is_changing: true, .. })) => "changing",
         (None, Some(entry)) if entry.slot_limit < engine.slots => "cold",
         (None, Some(_)) => "warm",
     };
@@ -124,7 +140,9 @@
         ),
         None => ("-".into(), "-".into()),
     };
-    let (role, zone) = (format!("{} {}", engine.role, engine.model), engine.zone.to_string());
+    let own_role = ledger.map(|entry| entry.role.clone()).filter(|role| !role.is_empty());
+    let role = own_role.unwrap_or_else(|| engine.role.to_smolstr());
+    let (role, zone) = (format!("{role} {}", engine.model), engine.zone.to_string());
     vec![id.to_string(), role, zone, state.into(), running, allowed]
 }
 
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -5,7 +5,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::config::{
-    Document, Endpoint, EngineEndpoint, Finding, Role, SECTIONS, Severity, Target,
+    Document, Endpoint, EngineEndpoint, Finding, Role, SECTIONS, Severity, Target, WEIGHT_STORE,
 };
 use crate::jsonc::{Positions, Step, read_jsonc};
 use crate::units::{KeyHash, ModelId, RegionId};
@@ -32,8 +32,8 @@
 
 use Step::{Index, Member};
 
-struct Checker<'a> {
-    document: &'a Document,
+pub(super) struct Checker<'a> {
+    pub(super) document: &'a Document,
     positions: Positions<'a>,
     findings: Vec<Finding>,
 }
@@ -44,17 +44,18 @@
         self.check_keys();
         self.check_rates();
         self.check_models();
+        self.check_loads();
         self.check_endpoints();
         self.check_pools();
         self.check_routes();
     }
 
-    fn error(&mut self, path: &[Step], message: String) {
+    pub(super) fn error(&mut self, path: &[Step], message: String) {
         let at = self.positions.error_at(path, message);
         self.findings.push(Finding::new(Severity::Error, at));
     }
 
-    fn warning(&mut self, path: &[Step], message: String) {
+    pub(super) fn warning(&mut self, path: &[Step], message: String) {
         let at = self.positions.error_at(path, message);
         self.findings.push(Finding::new(Severity::Warning, at));
     }
@@ -117,7 +118,8 @@
         for (id, rate) in &self.document.rates {
             let at = [Member("rates"), Member(id.as_str())];
             // An edit replaces one section, so a new organisation's rate has to come first.
-            if !self.document.organisations.contains_key(id) {
+            let is_weight_store = id.as_str() == WEIGHT_STORE;
+            if !is_weight_store && !self.document.organisations.contains_key(id) {
                 self.warning(&at, format!("rate of {id}: expected a member {id} in organisations"));
             }
             let (per_s, burst) = (rate.rate_tokens_per_s.get(), rate.burst_tokens);
@@ -126,6 +128,7 @@
                 &[("rate_tokens_per_s", per_s), ("burst_tokens", burst.get())],
             );
             if let Some((model, sizes)) = largest
+                && !is_weight_store
                 && burst.get() > 0
                 && burst < sizes.max_request_tokens()
             {
--- a/src/config/engine_endpoint.rs
+++ b/src/config/engine_endpoint.rs
@@ -10,6 +10,7 @@
 pub struct EngineEndpoint {
     pub address: SmolStr,
     pub zone: ZoneId,
+    /// Wanted role. The pool's owner brings the engine there.
     pub role: Role,
     pub model: ModelId,
     #[serde(default)]
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,11 +1,13 @@
 //! The configuration document: contents, checks, edits, versions, keys, propagation.
 
+mod adapter;
 mod admin;
 mod admin_error;
 mod catch_up;
 mod change;
 mod change_row;
 mod check;
+mod check_loads;
 mod commit;
 mod config_error;
 mod config_witnesses;
@@ -37,9 +39,11 @@
 mod splice;
 mod target;
 mod team;
+mod weight_store;
 mod witness;
 mod zone;
 
+pub use adapter::Adapter;
 pub use admin::Admin;
 pub use change::Change;
 pub use change_row::ChangeRow;
@@ -69,5 +73,6 @@
 pub use splice::Splice;
 pub use target::Target;
 pub use team::Team;
+pub use weight_store::{WEIGHT_STORE, weight_tokens};
 pub use witness::Witness;
 pub use zone::Zone;
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -1,5 +1,9 @@
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
+use smol_str::SmolStr;
 
+use crate::config::Adapter;
 use crate::units::{Pieces, Tokens};
 
 /// Sizes and costs of a model.
@@ -17,6 +21,15 @@
     /// Least number of bytes of prompt text that make one token. Gives an upper bound of a
     /// prompt's tokens before an engine has counted them.
     pub min_bytes_per_token: u64,
+    /// Revision that its engines are to have; without one, any revision that they have loaded.
+    #[serde(default)]
+    pub revision: SmolStr,
+    /// Bytes that an engine reads from the weight store to load the model.
+    #[serde(default)]
+    pub weights_bytes: u64,
+    /// Adapters that its engines are to have loaded.
+    #[serde(default)]
+    pub adapters: BTreeMap<SmolStr, Adapter>,
 }
 
 impl Model {
--- a/src/engine/engine_trait.rs
+++ b/src/engine/engine_trait.rs
@@ -1,6 +1,6 @@
 use crate::engine::{
-    CacheEvents, DecodeEvent, DecodeRequest, EngineError, HeldAttempt, LoadReport, OrderRequest,
-    PrefillRequest, PrefillResult,
+    CacheEvents, DecodeEvent, DecodeRequest, EngineError, EngineState, HeldAttempt, LoadReport,
+    OrderRequest, PrefillRequest, PrefillResult,
 };
 use crate::units::AttemptId;
 
@@ -21,6 +21,9 @@
 
     async fn load(&self) -> Result<LoadReport, EngineError>;
 
+    /// Role, models and adapters that the engine has now.
+    async fn state(&self) -> Result<EngineState, EngineError>;
+
     async fn order(&self, request: &OrderRequest) -> Result<(), EngineError>;
 
     async fn cache_events(&self, after_sequence: u64) -> Result<CacheEvents, EngineError>;
--- a/src/engine/http_engine.rs
+++ b/src/engine/http_engine.rs
@@ -10,8 +10,8 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::engine::{
-    CacheEvents, CancelRequest, DecodeEvent, DecodeRequest, Engine, EngineError, HeldAttempt,
-    LoadReport, OrderRequest, PrefillRequest, PrefillResult, TokenStream,
+    CacheEvents, CancelRequest, DecodeEvent, DecodeRequest, Engine, EngineError, EngineState,
+    HeldAttempt, LoadReport, OrderRequest, PrefillRequest, PrefillResult, TokenStream,
 };
 use crate::http::{HttpClient, HttpError};
 use crate::units::{AttemptId, Fencing};
@@ -119,6 +119,10 @@
         self.call(Method::GET, "/engine/load", &(), CONTROL_TIMEOUT).await
     }
 
+    async fn state(&self) -> Result<EngineState, EngineError> {
+        self.call(Method::GET, "/engine/state", &(), CONTROL_TIMEOUT).await
+    }
+
     async fn order(&self, request: &OrderRequest) -> Result<(), EngineError> {
         self.call(Method::POST, "/engine/order", request, CONTROL_TIMEOUT).await
     }
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -1,8 +1,11 @@
 //! Messages between the router and an engine.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::config::Role;
 use crate::units::{AttemptId, Fencing, ModelId, Pieces, Tokens};
 
 /// Computes a prompt's KV cache and keeps it for under a second.
@@ -115,12 +118,15 @@
 }
 
 /// A change that an endpoint's owner orders.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, derive_more::Display)]
 #[serde(rename_all = "snake_case")]
 pub enum Order {
+    #[display("role {role}")]
     SetRole { role: SmolStr },
+    #[display("model {model} {revision}")]
     LoadModel { model: ModelId, revision: SmolStr },
-    LoadAdapter { adapter: SmolStr },
+    #[display("adapter {adapter} {revision}")]
+    LoadAdapter { adapter: SmolStr, revision: SmolStr },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -128,3 +134,16 @@
     pub fencing: Fencing,
     pub order: Order,
 }
+
+/// What an engine has now. Orders are idempotent: one for what it has or loads changes nothing.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// Roles that it takes work for.
+    pub roles: Vec<Role>,
+    /// Revision of each model that is loaded; `None` if it takes work for any model.
+    pub models: Option<BTreeMap<ModelId, SmolStr>>,
+    /// Revision of each adapter that is loaded.
+    pub adapters: BTreeMap<SmolStr, SmolStr>,
+    /// Load that is in progress; the engine takes no work meanwhile.
+    pub loading: Option<Order>,
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -10,7 +10,7 @@
 pub use engine_trait::{Engine, TokenStream};
 pub use http_engine::{HttpEngine, HttpTokenStream};
 pub use messages::{
-    CacheEvent, CacheEvents, CancelRequest, DecodeEvent, DecodeRequest, HeldAttempt, LoadReport,
-    Order, OrderRequest, PrefillRequest, PrefillResult, PrefillSource,
+    CacheEvent, CacheEvents, CancelRequest, DecodeEvent, DecodeRequest, EngineState, HeldAttempt,
+    LoadReport, Order, OrderRequest, PrefillRequest, PrefillResult, PrefillSource,
 };
 pub use prefix_hashes::prefix_hashes;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod start;
 mod status;
 mod stop;
+mod weight_budget;
 
 pub use command::run_gateway;
 pub use engines::Engines;
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -12,6 +12,7 @@
 use crate::gateway::handover::send_state;
 use crate::gateway::node::SharedEngines;
 use crate::gateway::ownership::{follow_configuration, follow_leases};
+use crate::gateway::weight_budget::weight_draws;
 use crate::gateway::{
     Engines, GatewayError, GatewayHandler, GatewayMetrics, Node, NodeDraws, NodePeers, PeerVersions,
 };
@@ -117,7 +118,10 @@
             budgets: Budgets::new(clock, crate::gateway::BUDGET_SHARDS),
             claims: RequestClaims::new(clock),
             allowances: Rc::new(allowances),
-            pools: Rc::new(Pools::new(SharedEngines(Rc::clone(&engines)), clock)),
+            pools: Rc::new(
+                Pools::new(SharedEngines(Rc::clone(&engines)), clock)
+                    .with_weight_draws(weight_draws(weak.clone())),
+            ),
             engines,
             suspects,
             live: LiveAttempts::new(own.instance.clone(), own.incarnation),
--- /dev/null
+++ b/src/gateway/weight_budget.rs
@@ -0,0 +1,40 @@
+use std::rc::{Rc, Weak};
+
+use crate::clock::Clock;
+use crate::config::{WEIGHT_STORE, weight_tokens};
+use crate::gateway::Node;
+use crate::pool::WeightDraws;
+use crate::units::OrganisationId;
+
+/// A load of the largest burst waits longer only if others are before it; then it is tried again.
+const DRAW_WAIT_MS: u64 = 60_000;
+
+/// Charges the bytes of a load to the weight store's budget. A charge that is followed by no load
+/// is not refunded, because the order may have reached the engine all the same.
+pub(super) fn weight_draws(node: Weak<Node>) -> WeightDraws {
+    Rc::new(move |bytes| {
+        let node = node.upgrade();
+        Box::pin(async move {
+            let Some(node) = node else { return false };
+            let organisation = OrganisationId::new(WEIGHT_STORE);
+            let is_limited =
+                node.configuration.current().document.rates.contains_key(&organisation);
+            if !is_limited {
+                // The check of the document allows this only for loads of no bytes.
+                return false;
+            }
+            let tokens = weight_tokens(bytes);
+            let deadline = node.clock.now().plus_ms(DRAW_WAIT_MS);
+            match node.allowances.charge(&organisation, tokens, deadline).await {
+                Ok(charge) => {
+                    charge.settle(tokens);
+                    true
+                }
+                Err(error) => {
+                    log::debug!(target: "pool", "load waits for the weight store: {error}");
+                    false
+                }
+            }
+        })
+    })
+}
--- /dev/null
+++ b/src/pool/changing.rs
@@ -0,0 +1,240 @@
+//! Brings the endpoints of a pool to the wanted role, model and adapters, a few at a time.
+
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::clock::Instant;
+use crate::config::Role;
+use crate::engine::{EngineState, Order};
+use crate::pool::change::Change;
+use crate::pool::endpoint_ledger::{EndpointLedger, Health};
+use crate::pool::pool_state::PoolState;
+use crate::units::{AttemptId, EndpointId};
+
+/// What the owner does next for its pool's changes.
+#[derive(Debug, Default)]
+pub(crate) struct ChangeWork {
+    /// Drained endpoints with the next order, and the bytes that it reads from the weight store.
+    pub orders: Vec<(EndpointId, Order, u64)>,
+    /// Attempts that did not end before the drain's deadline.
+    pub cancels: Vec<(EndpointId, AttemptId)>,
+}
+
+impl PoolState {
+    /// Endpoints that may be out at a time: one in this many, at least one.
+    const OUT_DIVISOR: usize = 10;
+    /// An endpoint that was changed counts as out until it is warm, at most for this long: without
+    /// load it stays cold.
+    pub(super) const SETTLE_MS: u64 = 3000;
+    /// A sent order shows in the engine's state within this time.
+    const RESEND_MS: u64 = 1000;
+    /// An engine that refused an order is asked again after this time.
+    const REFUSED_MS: u64 = 5000;
+
+    /// Takes what an engine reported to a question sent at `sent_at`.
+    pub fn note_state(&mut self, id: &EndpointId, state: EngineState, sent_at: Instant) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let has_role = state.roles.contains(&endpoint.entry.role);
+        let reported_role = state.roles.first().copied();
+        endpoint.note_state(state, sent_at);
+        if let (false, Some(role)) = (has_role, reported_role) {
+            endpoint.switch_role(role);
+            self.prefixes.forget_endpoint(id);
+        }
+    }
+
+    /// Ends, continues and begins changes. Begins none before `begin_after`, while an order of the
+    /// previous owner may still take effect.
+    pub fn advance_changes(&mut self, now: Instant, begin_after: Instant) -> ChangeWork {
+        self.end_changes(now);
+        let mut work = ChangeWork::default();
+        let changing = self.endpoints.iter().filter(|(_, e)| e.change.is_some());
+        let changing: Vec<EndpointId> = changing.map(|(id, _)| id.clone()).collect();
+        for id in changing {
+            if self.is_drained(&id, now) {
+                work.orders.extend(self.due_order(&id, now));
+            } else {
+                self.cut_drain(&id, now, &mut work);
+            }
+        }
+        self.begin_changes(now, begin_after);
+        work
+    }
+
+    fn end_changes(&mut self, now: Instant) {
+        let mut ended = Vec::new();
+        for (id, endpoint) in &mut self.endpoints {
+            let is_loading = endpoint.reported.as_ref().is_some_and(|r| r.loading.is_some());
+            if is_loading && endpoint.change.is_none() {
+                // Begun by the previous owner.
+                endpoint.change = Some(Change::new(true, now));
+            }
+            let is_settled = endpoint.reported.is_some() && !endpoint.needs_change();
+            if endpoint.change.is_some() && is_settled && !is_loading {
+                endpoint.end_change(now.plus_ms(PoolState::SETTLE_MS));
+                ended.push(id.clone());
+            }
+        }
+        for id in ended {
+            log::info!(target: "pool", "endpoint {id} has what the document wants");
+            self.prefixes.forget_endpoint(&id);
+        }
+    }
+
+    /// Whether nothing runs or may still begin to run on an endpoint that gets no new work.
+    fn is_drained(&self, id: &EndpointId, now: Instant) -> bool {
+        let Some(endpoint) = self.endpoints.get(id) else { return false };
+        let Some(change) = &endpoint.change else { return false };
+        let is_reserved = self.reservations.values().any(|reservation| {
+            reservation.decode == *id
+                || (reservation.prefill == *id && reservation.output_tokens.get() == 0)
+        });
+        now >= self.nothing_freed_before
+            && !is_reserved
+            && endpoint.occupancy.used_slots() == 0
+            && endpoint.empty_at.is_some_and(|at| at >= change.begun_at)
+    }
+
+    /// The next order of a drained endpoint, once the engine's state shows what the last one did.
+    fn due_order(&mut self, id: &EndpointId, now: Instant) -> Option<(EndpointId, Order, u64)> {
+        let endpoint = self.endpoints.get_mut(id)?;
+        let (reported, change) = (endpoint.reported.as_ref()?, endpoint.change.as_ref()?);
+        let is_seen = change.ordered_at.is_none_or(|at| endpoint.reported_at > at);
+        if endpoint.health != Health::Up
+            || reported.loading.is_some()
+            || !is_seen
+            || now < change.next_order_at
+        {
+            return None;
+        }
+        let Some(order) = endpoint.wanted.next_order(reported) else {
+            // An engine with both roles needs no order, only the drain.
+            endpoint.switch_role(endpoint.wanted.role);
+            return None;
+        };
+        let bytes = endpoint.wanted.bytes_of(&order);
+        Some((id.clone(), order, bytes))
+    }
+
+    /// Ends what still runs after the drain's deadline.
+    fn cut_drain(&mut self, id: &EndpointId, now: Instant, work: &mut ChangeWork) {
+        let Some(endpoint) = self.endpoints.get(id) else { return };
+        if endpoint.change.as_ref().is_none_or(|change| now < change.drain_deadline) {
+            return;
+        }
+        let runs_here = self.reservations.iter().filter(|(_, reservation)| {
+            reservation.decode == *id
+                || (reservation.prefill == *id && reservation.output_tokens.get() == 0)
+        });
+        let left: Vec<AttemptId> = runs_here.map(|(attempt, _)| attempt.clone()).collect();
+        for attempt in left {
+            log::info!(target: "pool", "attempt {attempt} moved: {id} is drained no longer");
+            self.release(&attempt);
+            self.ended.insert(attempt.clone(), now);
+            work.cancels.push((id.clone(), attempt));
+        }
+    }
+
+    fn begin_changes(&mut self, now: Instant, begin_after: Instant) {
+        for id in self.in_turn() {
+            let reason = if now < begin_after {
+                Some("previous owner's orders".into())
+            } else {
+                self.reason_to_wait(&id, now)
+            };
+            let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
+            if reason.is_none() {
+                log::info!(target: "pool", "endpoint {id} is drained for a change");
+                endpoint.change = Some(Change::new(endpoint.is_open(), now));
+            }
+            endpoint.waits_for = reason;
+        }
+    }
+
+    /// Endpoints that are to change, in a stable order that keeps both roles of the old and of the
+    /// new revision served: the role of which less is done goes first, and the last endpoint of a
+    /// role waits until the other role has only one left.
+    fn in_turn(&self) -> Vec<EndpointId> {
+        let is_waiting =
+            |e: &EndpointLedger| e.change.is_none() && e.health == Health::Up && e.needs_change();
+        let count = |role: Role, only_waiting: bool| {
+            let of_role = self.endpoints.values().filter(|e| e.entry.role == role);
+            of_role.filter(|e| !only_waiting || is_waiting(e)).count()
+        };
+        let left = |role| count(role, true);
+        let share_left = |role| left(role) as f64 / count(role, false).max(1) as f64;
+        let is_before = |role: Role, other: Role| {
+            let is_last = left(role) == 1 && left(other) > 1;
+            (is_last, 1.0 - share_left(role))
+        };
+        let rank = |role: Role| match role {
+            Role::Prefill => is_before(Role::Prefill, Role::Decode),
+            Role::Decode => is_before(Role::Decode, Role::Prefill),
+        };
+        let mut waiting: Vec<(&EndpointId, &EndpointLedger)> =
+            self.endpoints.iter().filter(|(_, e)| is_waiting(e)).collect();
+        waiting.sort_by(|(a_id, a), (b_id, b)| {
+            let (a_rank, b_rank) = (rank(a.entry.role), rank(b.entry.role));
+            let by_share = a_rank.1.total_cmp(&b_rank.1);
+            let by_role = a.entry.role.cmp(&b.entry.role);
+            a_rank.0.cmp(&b_rank.0).then(by_share).then(by_role).then(a_id.cmp(b_id))
+        });
+        waiting.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Why an endpoint cannot be taken out now.
+    fn reason_to_wait(&self, id: &EndpointId, now: Instant) -> Option<SmolStr> {
+        let endpoint = self.endpoints.get(id)?;
+        if !endpoint.is_open() {
+            return None;
+        }
+        let in_service = self.endpoints.values().filter(|e| e.in_service);
+        let limit = (in_service.count() / PoolState::OUT_DIVISOR).max(1);
+        let out: Vec<&EndpointId> =
+            self.endpoints.iter().filter(|(_, e)| e.is_out(now)).map(|(id, _)| id).collect();
+        if out.len() >= limit {
+            let names: Vec<&str> = out.iter().map(|id| id.as_str()).collect();
+            return Some(format_smolstr!("{}", names.join(" ")));
+        }
+        if !self.serves_without(id) {
+            return Some(format_smolstr!("another {} endpoint", endpoint.entry.role));
+        }
+        None
+    }
+
+    /// Whether other endpoints of both roles and one revision are open.
+    fn serves_without(&self, id: &EndpointId) -> bool {
+        let open = |role: Role| {
+            let others = self.endpoints.iter().filter(move |(other, _)| *other != id);
+            others.map(|(_, e)| e).filter(move |e| e.entry.role == role && e.is_open())
+        };
+        open(Role::Prefill)
+            .any(|prefill| open(Role::Decode).any(|decode| decode.revision() == prefill.revision()))
+    }
+
+    /// Whether the order is still the next one: the document or the engine may have changed.
+    pub fn is_due(&mut self, id: &EndpointId, order: &Order, now: Instant) -> bool {
+        self.is_drained(id, now) && self.due_order(id, now).is_some_and(|(_, due, _)| due == *order)
+    }
+
+    pub fn note_waits_for(&mut self, id: &EndpointId, reason: Option<&str>) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.waits_for = reason.map(SmolStr::from);
+        }
+    }
+
+    /// Notes the answer to an order. Whether it took effect is known only from the engine's state.
+    pub fn note_order(
+        &mut self,
+        id: &EndpointId,
+        failure: Option<SmolStr>,
+        is_refused: bool,
+        now: Instant,
+    ) {
+        let endpoint = self.endpoints.get_mut(id);
+        let Some(change) = endpoint.and_then(|e| e.change.as_mut()) else { return };
+        let wait_ms = if is_refused { PoolState::REFUSED_MS } else { PoolState::RESEND_MS };
+        change.failure = failure;
+        change.ordered_at = Some(now);
+        change.next_order_at = now.plus_ms(wait_ms);
+    }
+}
--- a/src/pool/endpoint_ledger.rs
+++ b/src/pool/endpoint_ledger.rs
@@ -1,10 +1,16 @@
+use smol_str::{SmolStr, ToSmolStr};
+
 use crate::clock::Instant;
-use crate::config::EngineEndpoint;
+use crate::config::{EngineEndpoint, Role};
+use crate::engine::{EngineState, Order};
+use crate::pool::EndpointStatus;
+use crate::pool::change::Change;
 use crate::pool::link::Link;
 use crate::pool::occupancy::Occupancy;
 use crate::pool::prefill_queue::PrefillQueue;
+use crate::pool::wanted::Wanted;
 use crate::pool::warm_up::WarmUp;
-use crate::units::Pieces;
+use crate::units::{EndpointId, Pieces};
 
 /// What the owner has reserved on an endpoint and knows of its state.
 #[derive(Clone, Debug)]
@@ -24,6 +30,17 @@
     failed_probes: u32,
     /// Prefills that a previous owner's live attempts had here.
     earlier_prefills: u32,
+    pub wanted: Wanted,
+    /// What the engine said last that it has; `None` until it has answered since it came up.
+    pub reported: Option<EngineState>,
+    /// When the question for `reported` was sent.
+    pub reported_at: Instant,
+    pub change: Option<Change>,
+    /// After a change the endpoint counts as out until it is warm, at most until then.
+    settles_until: Instant,
+    pub waits_for: Option<SmolStr>,
+    /// When the last list was requested, if it was empty.
+    pub empty_at: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +55,7 @@
     /// One lost answer does not mean that the endpoint is down.
     const MAX_FAILED_PROBES: u32 = 2;
 
-    pub fn new(entry: EngineEndpoint, in_service: bool) -> EndpointLedger {
+    pub fn new(entry: EngineEndpoint, in_service: bool, wanted: Wanted) -> EndpointLedger {
         EndpointLedger {
             in_service,
             health: Health::Unknown,
@@ -50,29 +67,119 @@
             died_at: None,
             failed_probes: 0,
             earlier_prefills: 0,
+            wanted,
+            reported: None,
+            reported_at: Instant::default(),
+            change: None,
+            settles_until: Instant::default(),
+            waits_for: None,
+            empty_at: None,
             entry,
         }
     }
 
-    /// Takes over the document's entry. Return to service starts cold.
-    pub fn update(&mut self, entry: &EngineEndpoint, in_service: bool) {
+    /// Takes over the document's entry. Return to service starts cold. The role stays the one that
+    /// the engine has until it reports another.
+    pub fn update(&mut self, entry: &EngineEndpoint, in_service: bool, wanted: Wanted) {
         if in_service && !self.in_service {
             self.warm_up.restart();
         }
         self.in_service = in_service;
         self.warm_up.set_slots(entry.slots);
         self.link.set_bytes_per_s(entry.link_bytes_per_s);
-        self.entry = entry.clone();
+        let role = self.entry.role;
+        self.entry = EngineEndpoint { role, ..entry.clone() };
+        self.wanted = wanted;
     }
 
     /// May get new work.
     pub fn is_open(&self) -> bool {
-        self.in_service && self.health == Health::Up
+        self.in_service && self.health == Health::Up && self.change.is_none() && self.has_role()
     }
 
     /// May get new work once a probe answers.
     pub fn may_open(&self) -> bool {
-        self.in_service && self.health != Health::Down
+        let may_have_role = self.reported.is_none() || self.has_role();
+        self.in_service && self.health != Health::Down && self.change.is_none() && may_have_role
+    }
+
+    /// Whether the engine itself says that it takes work of this role and model.
+    fn has_role(&self) -> bool {
+        self.reported.as_ref().is_some_and(|reported| {
+            let models = reported.models.as_ref();
+            reported.loading.is_none()
+                && reported.roles.contains(&self.entry.role)
+                && models.is_none_or(|models| models.contains_key(&self.wanted.model))
+        })
+    }
+
+    /// Revision of the model that the engine has. KV caches of different revisions do not mix.
+    pub fn revision(&self) -> Option<&SmolStr> {
+        self.reported.as_ref()?.models.as_ref()?.get(&self.wanted.model)
+    }
+
+    pub fn needs_change(&self) -> bool {
+        self.entry.role != self.wanted.role || self.next_order().is_some()
+    }
+
+    fn next_order(&self) -> Option<Order> {
+        self.reported.as_ref().and_then(|reported| self.wanted.next_order(reported))
+    }
+
+    /// Whether a change takes the endpoint's capacity from the pool now.
+    pub fn is_out(&self, now: Instant) -> bool {
+        let is_settling = now < self.settles_until && !self.warm_up.is_warm();
+        is_settling || self.change.as_ref().is_some_and(|change| change.takes_capacity)
+    }
+
+    /// Whether the endpoint is probed more often than each second.
+    pub fn is_watched(&self) -> bool {
+        self.health != Health::Up || self.change.is_some() || self.reported.is_none()
+    }
+
+    pub fn note_state(&mut self, state: EngineState, sent_at: Instant) {
+        self.reported = Some(state);
+        self.reported_at = sent_at;
+    }
+
+    /// The engine has another role than this ledger was kept for.
+    pub fn switch_role(&mut self, role: Role) {
+        self.entry.role = role;
+        self.restart();
+    }
+
+    pub fn end_change(&mut self, settles_until: Instant) {
+        if self.change.take().is_some_and(|change| change.takes_capacity) {
+            self.settles_until = settles_until;
+        }
+        self.waits_for = None;
+        self.restart();
+    }
+
+    /// Nothing runs, and the endpoint is cold.
+    fn restart(&mut self) {
+        self.warm_up = WarmUp::new(self.entry.slots);
+        self.link = Link::new(self.entry.link_bytes_per_s);
+        self.occupancy = Occupancy::default();
+        self.prefills = PrefillQueue::default();
+        self.earlier_prefills = 0;
+    }
+
+    pub fn status(&self, id: &EndpointId, now: Instant) -> EndpointStatus {
+        EndpointStatus {
+            endpoint: id.clone(),
+            role: self.entry.role,
+            wanted_role: self.wanted.role,
+            next_order: self.next_order().map(|order| order.to_smolstr()),
+            is_changing: self.change.is_some(),
+            waits_for: self.waits_for.clone(),
+            failure: self.change.as_ref().and_then(|change| change.failure.clone()),
+            in_service: self.in_service,
+            is_up: self.health == Health::Up,
+            used_slots: self.used_slots(now),
+            slot_limit: self.warm_up.limit(),
+            used_pieces: self.occupancy.used_pieces(),
+        }
     }
 
     pub fn used_slots(&self, now: Instant) -> u32 {
@@ -136,6 +243,7 @@
             log::warn!(target: "pool", "endpoint at {} is down", self.entry.address);
         }
         self.health = Health::Down;
+        self.reported = None;
         self.warm_up.restart();
         self.prefills = PrefillQueue::default();
         self.cache_sequence = 0;
--- a/src/pool/pool_state.rs
+++ b/src/pool/pool_state.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Instant;
 use crate::config::{Document, Endpoint, Model, Role, ServiceState};
-use crate::pool::endpoint_ledger::{EndpointLedger, Health};
+use crate::pool::endpoint_ledger::EndpointLedger;
 use crate::pool::endpoint_status::EndpointStatus;
 use crate::pool::fair_queue::FairQueue;
 use crate::pool::prefix_index::PrefixIndex;
@@ -11,6 +11,7 @@
 use crate::pool::reservation::Reservation;
 use crate::pool::selection::Selection;
 use crate::pool::waiter::Waiter;
+use crate::pool::wanted::Wanted;
 use crate::pool::{AdmitAnswer, Class};
 use crate::units::{AttemptId, EndpointId, Fencing, OrganisationId, ShardId};
 
@@ -75,14 +76,14 @@
                 continue;
             }
             let in_service = entry.state == ServiceState::In && zone.state == ServiceState::In;
-            let same =
-                |e: &EndpointLedger| e.entry.address == entry.address && e.entry.role == entry.role;
+            let wanted = Wanted::new(entry, self.model.as_ref());
+            let same = |e: &EndpointLedger| e.entry.address == entry.address;
             let ledger = match old.remove(id).filter(same) {
                 Some(mut ledger) => {
-                    ledger.update(entry, in_service);
+                    ledger.update(entry, in_service, wanted);
                     ledger
                 }
-                None => EndpointLedger::new(entry.clone(), in_service),
+                None => EndpointLedger::new(entry.clone(), in_service, wanted),
             };
             self.endpoints.insert(id.clone(), ledger);
         }
@@ -142,16 +143,7 @@
     }
 
     pub fn status(&self, now: Instant) -> Vec<EndpointStatus> {
-        let status = |(id, e): (&EndpointId, &EndpointLedger)| EndpointStatus {
-            endpoint: id.clone(),
-            role: e.entry.role,
-            in_service: e.in_service,
-            is_up: e.health == Health::Up,
-            used_slots: e.used_slots(now),
-            slot_limit: e.warm_up.limit(),
-            used_pieces: e.occupancy.used_pieces(),
-        };
-        self.endpoints.iter().map(status).collect()
+        self.endpoints.iter().map(|(id, endpoint)| endpoint.status(id, now)).collect()
     }
 
     pub(super) fn weight(&self, organisation: &OrganisationId) -> u32 {
--- a/src/pool/pools.rs
+++ b/src/pool/pools.rs
@@ -9,6 +9,7 @@
 use crate::pool::shard::Shard;
 use crate::pool::{
     Admission, AdmitAnswer, EndpointStatus, EngineFactory, FinishedAttempt, PoolError, Progress,
+    WeightDraws,
 };
 use crate::units::{EndpointId, Fencing, Fingerprint, Incarnation, InstanceId, ShardId};
 
@@ -20,6 +21,7 @@
     clock: C,
     document: RefCell<Rc<Document>>,
     shards: RefCell<Shards<F, C>>,
+    weight_draws: Option<WeightDraws>,
 }
 
 impl<F: EngineFactory, C: Clock> Pools<F, C> {
@@ -29,7 +31,13 @@
 
     pub fn new(factory: F, clock: C) -> Pools<F, C> {
         let document = RefCell::default();
-        Pools { factory, clock, document, shards: RefCell::default() }
+        Pools { factory, clock, document, shards: RefCell::default(), weight_draws: None }
+    }
+
+    /// Limits the loads that this instance orders.
+    pub fn with_weight_draws(mut self, draws: WeightDraws) -> Pools<F, C> {
+        self.weight_draws = Some(draws);
+        self
     }
 
     /// Reserves a prefill and decode pair. Waits in the queue for up to the admission's
@@ -75,7 +83,9 @@
 
     /// Starts to own a pool. `previous_end` is when the previous owner's lease ended.
     pub fn gain(&self, id: ShardId, fencing: Fencing, previous_end: Instant) {
-        let shard = Rc::new(Shard::new(id.clone(), fencing, previous_end, self.clock.clone()));
+        let mut shard = Shard::new(id.clone(), fencing, previous_end, self.clock.clone());
+        shard.weight_draws = self.weight_draws.clone();
+        let shard = Rc::new(shard);
         shard.set_document(self.document.borrow().clone(), &self.factory);
         if let Some(old) = self.shards.borrow_mut().insert(id, shard) {
             old.lose();
--- a/src/pool/reconciliation.rs
+++ b/src/pool/reconciliation.rs
@@ -207,6 +207,7 @@
     ) -> Vec<AttemptId> {
         self.measure_prompts(id, held);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return Vec::new() };
+        endpoint.empty_at = held.is_empty().then_some(sent_at);
         let mut cancels = Vec::new();
         for HeldAttempt { attempt, pieces } in held {
             if self.reservations.contains_key(attempt) {
--- a/src/pool/selection.rs
+++ b/src/pool/selection.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 
+use smol_str::SmolStr;
+
 use crate::clock::Instant;
 use crate::config::{Model, Role};
 use crate::pool::Admission;
@@ -140,7 +142,9 @@
             slots.max(memory) + Self::CROSSING_FILL * crossing(&e.entry.zone, &request.zone) as f64
         };
         let mut has_slot = false;
+        let revisions = self.prefill_revisions();
         self.usable(request, Role::Decode)
+            .filter(|(_, e)| revisions.contains(&e.revision()))
             .inspect(|_| has_slot = true)
             .filter(|(_, e)| e.free_pieces() >= pieces)
             .min_by(|(_, a), (_, b)| fill(a).total_cmp(&fill(b)))
@@ -148,6 +152,19 @@
             .map_err(|()| if has_slot { Blocked::Memory } else { Blocked::Busy })
     }
 
+    /// Revisions that an open prefill endpoint has. An engine without a list of models has `None`.
+    fn prefill_revisions(&self) -> Vec<Option<&SmolStr>> {
+        let mut revisions = Vec::new();
+        for endpoint in self.endpoints.values() {
+            let revision = endpoint.revision();
+            let is_open = endpoint.entry.role == Role::Prefill && endpoint.is_open();
+            if is_open && !revisions.contains(&revision) {
+                revisions.push(revision);
+            }
+        }
+        revisions
+    }
+
     fn pair(
         &self,
         request: &Admission,
@@ -155,6 +172,9 @@
         (decode_id, decode): (&EndpointId, &EndpointLedger),
         pieces: Pieces,
     ) -> Option<Choice> {
+        if prefill.revision() != decode.revision() {
+            return None;
+        }
         let prefill_ms = Self::prefill_ms(self.model, self.uncached(request, prefill_id));
         let is_long = prefill_ms >= Self::LONG_PREFILL_MS;
         let starts_at = prefill.prefills.ends_at(self.now);
--- a/src/pool/shard.rs
+++ b/src/pool/shard.rs
@@ -11,23 +11,25 @@
 
 use crate::clock::{Clock, Instant};
 use crate::config::{Document, Role};
-use crate::engine::{Engine, EngineError, HeldAttempt, Order, OrderRequest};
-use crate::pool::endpoint_ledger::Health;
+use crate::engine::{Engine, EngineError, HeldAttempt};
 use crate::pool::pool_state::PoolState;
 use crate::pool::selection::Blocked;
 use crate::pool::ticket::Ticket;
-use crate::pool::{Admission, AdmitAnswer, EngineFactory, PoolError};
+use crate::pool::{Admission, AdmitAnswer, EngineFactory, WeightDraws};
 use crate::units::{AttemptId, EndpointId, Fencing, ShardId};
 
 /// A pool that this instance owns: its state and the calls to its engines.
 pub(crate) struct Shard<E, C> {
     pub state: RefCell<PoolState>,
-    clock: C,
-    fencing: Fencing,
+    pub(super) clock: C,
+    pub(super) fencing: Fencing,
     engines: RefCell<HashMap<EndpointId, (SmolStr, E)>>,
     lease_deadline: Cell<Instant>,
     /// Orders to engines that check no fencing number wait until then.
-    orders_after: Instant,
+    pub(super) orders_after: Instant,
+    /// Limits loads to the weight store's rate, if there is one.
+    pub(super) weight_draws: Option<WeightDraws>,
+    pub(super) ordering: RefCell<HashSet<EndpointId>>,
     is_lost: Cell<bool>,
     probing: RefCell<HashSet<EndpointId>>,
     cancelling: RefCell<HashSet<(EndpointId, AttemptId)>>,
@@ -38,7 +40,7 @@
 
 impl<E: Engine, C: Clock> Shard<E, C> {
     /// Orders of the previous owner can be in flight for this long after its lease ended.
-    const COMMAND_TIMEOUT_MS: u64 = 2000;
+    pub(super) const COMMAND_TIMEOUT_MS: u64 = 2000;
     const CALL_TIMEOUT: Duration = Duration::from_millis(500);
     /// With a silence of 3 s, a check period of 250 ms and three calls of 500 ms, memory is free
     /// within 5 s although two cancellations are lost.
@@ -56,6 +58,8 @@
             engines: RefCell::default(),
             lease_deadline: Cell::default(),
             orders_after: previous_end.plus_ms(Self::COMMAND_TIMEOUT_MS),
+            weight_draws: None,
+            ordering: RefCell::default(),
             is_lost: Cell::new(false),
             probing: RefCell::default(),
             cancelling: RefCell::default(),
@@ -146,35 +150,13 @@
             self.next_check.set(now.plus_ms(Self::CHECK_MS));
             let silent = self.state.borrow_mut().take_silent(now);
             silent.into_iter().for_each(|(id, attempt)| self.spawn_cancel(id, attempt));
+            self.advance_changes();
             self.spawn_probes(is_second);
         }
         self.state.borrow_mut().drop_expired(now);
         self.pump();
     }
 
-    /// Sends an order under this owner's fencing number.
-    pub async fn order(&self, id: &EndpointId, order: Order) -> Result<(), PoolError> {
-        let unknown = || PoolError::UnknownEndpoint { endpoint: id.clone() };
-        let checks_fencing = {
-            let state = self.state.borrow();
-            state.endpoints.get(id).ok_or_else(unknown)?.entry.checks_fencing
-        };
-        if !checks_fencing {
-            tokio::time::sleep(self.orders_after.remaining(self.clock.now())).await;
-        }
-        if !self.is_held() {
-            return Err(PoolError::NotHolder);
-        }
-        let engine = self.engine(id).ok_or_else(unknown)?;
-        let request = OrderRequest { fencing: self.fencing, order };
-        let limit = Duration::from_millis(Self::COMMAND_TIMEOUT_MS);
-        let result = timeout(limit, engine.order(&request)).await;
-        if !self.is_held() {
-            return Err(PoolError::NotHolder);
-        }
-        Ok(result.map_err(|_| PoolError::TimedOut)??)
-    }
-
     fn refuse_waiting(&self) {
         for waiter in self.state.borrow_mut().drain_queues() {
             // The caller may have given up.
@@ -182,15 +164,15 @@
         }
     }
 
-    fn engine(&self, id: &EndpointId) -> Option<E> {
+    pub(super) fn engine(&self, id: &EndpointId) -> Option<E> {
         self.engines.borrow().get(id).map(|(_, engine)| engine.clone())
     }
 
-    /// Probes all endpoints each second, and those that are not up at each check.
+    /// Probes all endpoints each second, and those that are changing or not up at each check.
     fn spawn_probes(self: &Rc<Self>, is_second: bool) {
         let state = self.state.borrow();
         for (id, endpoint) in &state.endpoints {
-            let is_due = is_second || endpoint.health != Health::Up;
+            let is_due = is_second || endpoint.is_watched();
             if is_due && self.probing.borrow_mut().insert(id.clone()) {
                 let (shard, id) = (self.clone(), id.clone());
                 spawn_local(async move {
@@ -212,6 +194,13 @@
         if !is_up {
             return self.state.borrow_mut().note_probe_failure(id);
         }
+        let reported = call(engine.state()).await;
+        if !self.is_held() {
+            return;
+        }
+        if let Some(reported) = reported {
+            self.state.borrow_mut().note_state(id, reported, sent_at);
+        }
         self.note_answer(id, held, sent_at);
         let (is_prefill, after) = match self.state.borrow().endpoints.get(id) {
             Some(e) => (e.entry.role == Role::Prefill, e.cache_sequence),
@@ -242,7 +231,7 @@
         }
     }
 
-    fn spawn_cancel(self: &Rc<Self>, id: EndpointId, attempt: AttemptId) {
+    pub(super) fn spawn_cancel(self: &Rc<Self>, id: EndpointId, attempt: AttemptId) {
         let key = (id, attempt);
         if self.cancelling.borrow_mut().insert(key.clone()) {
             let shard = self.clone();
--- a/src/standin/engine/decode.rs
+++ b/src/standin/engine/decode.rs
@@ -66,7 +66,7 @@
             DecodeAnswer { prompt_hash, prompt_tokens, length, is_cut: length == max_tokens };
         let pieces = self.settings.pieces_of(prompt_tokens + max_tokens);
         let mut state = self.state.borrow_mut();
-        self.check_work(&state, EngineRole::Prefill, request.model.as_str())?;
+        self.check_work(&mut state, EngineRole::Prefill, request.model.as_str())?;
         if state.decodes.contains_key(&request.attempt) {
             return Err(Refusal::new(StatusCode::CONFLICT, "attempt_exists"));
         }
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -22,7 +22,7 @@
 
 pub use faults::EngineFaults;
 pub use settings::{EngineRole, EngineSettings};
-pub use stats::{AttemptCounts, EngineStats, PromptCounts};
+pub use stats::{AttemptCounts, EngineStats, LoadRecord, PromptCounts};
 
 /// Starts an engine's stand-in. Runs on the current `LocalSet`.
 pub async fn start_engine(
--- a/src/standin/engine/prefill.rs
+++ b/src/standin/engine/prefill.rs
@@ -53,7 +53,7 @@
         let request = &queued.request;
         let pieces = self.settings.pieces_of(all_tokens(request));
         let mut state = self.state.borrow_mut();
-        self.check_work(&state, EngineRole::Decode, request.model.as_str())?;
+        self.check_work(&mut state, EngineRole::Decode, request.model.as_str())?;
         let has_room = state.queue.len() < self.settings.prefill_queue
             && state.memory.hold(&request.attempt, Use::Prefill, pieces);
         if !has_room {
--- a/src/standin/engine/service.rs
+++ b/src/standin/engine/service.rs
@@ -58,17 +58,21 @@
     /// does not take it.
     pub(super) fn check_work(
         &self,
-        state: &State,
+        state: &mut State,
         opposite: EngineRole,
         model: &str,
     ) -> Result<(), Refusal> {
-        if state.role() == opposite {
-            return Err(Refusal::new(StatusCode::CONFLICT, "wrong_role"));
-        }
-        if !self.settings.serves(&state.stats.models, model) {
-            return Err(Refusal::new(StatusCode::CONFLICT, "wrong_model"));
-        }
-        Ok(())
+        let code = if state.role() == opposite {
+            "wrong_role"
+        } else if !self.settings.serves(&state.stats.models, model) {
+            "wrong_model"
+        } else if state.stats.loading.is_some() {
+            "loading"
+        } else {
+            return Ok(());
+        };
+        state.stats.work_refused += 1;
+        Err(Refusal::new(StatusCode::CONFLICT, code))
     }
 
     async fn control(&self, request: Request<Incoming>) -> Answer {
@@ -114,6 +118,7 @@
             (Method::POST, "/engine/cancel") => self.cancel(read_json(request).await?),
             (Method::POST, "/engine/order") => self.order(read_json(request).await?),
             (Method::GET, "/engine/held") => json(&self.state.borrow().memory.list()),
+            (Method::GET, "/engine/state") => json(&self.engine_state()),
             (Method::GET, "/engine/load") => json(&self.published_load()),
             (Method::GET, "/engine/events") => self.events(request.uri().query()),
             (Method::GET, path) => match path.strip_prefix("/engine/kv/") {
--- a/src/standin/engine/settings.rs
+++ b/src/standin/engine/settings.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::config::Role;
+
 /// Settings of an engine's stand-in.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -61,6 +63,14 @@
 }
 
 impl EngineRole {
+    pub(super) fn roles(self) -> Vec<Role> {
+        match self {
+            EngineRole::Both => vec![Role::Prefill, Role::Decode],
+            EngineRole::Prefill => vec![Role::Prefill],
+            EngineRole::Decode => vec![Role::Decode],
+        }
+    }
+
     pub(super) fn of_name(name: &str) -> Option<EngineRole> {
         match name {
             "both" => Some(EngineRole::Both),
--- a/src/standin/engine/stats.rs
+++ b/src/standin/engine/stats.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use super::settings::EngineRole;
-use crate::engine::OrderRequest;
+use crate::engine::{Order, OrderRequest};
 use crate::standin::SecretStats;
 use crate::units::{AttemptId, Fencing};
 
@@ -29,6 +29,13 @@
     pub completed: u64,
 }
 
+/// A load that an engine began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadRecord {
+    pub order: Order,
+    pub started_unix_ms: u64,
+}
+
 /// What an engine's stand-in did since its start.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineStats {
@@ -52,12 +59,33 @@
     pub newest_fencing: Fencing,
     pub role: EngineRole,
     pub models: Vec<SmolStr>,
+    /// Revisions of models that an order loaded.
+    pub revisions: BTreeMap<SmolStr, SmolStr>,
+    pub adapters: BTreeMap<SmolStr, SmolStr>,
+    pub loading: Option<Order>,
+    pub loads: Vec<LoadRecord>,
+    /// Prefills and decodes that did not fit the engine's role or models, or came during a load.
+    pub work_refused: u64,
     pub used_pieces: u64,
     pub running: u32,
     pub queued: u32,
 }
 
 impl EngineStats {
+    /// Whether what an order is to load is there.
+    pub(super) fn has(&self, order: &Order) -> bool {
+        match order {
+            Order::SetRole { .. } => false,
+            Order::LoadModel { model, revision } => {
+                let loaded = self.revisions.get(model.as_str()).map_or("", |r| r.as_str());
+                self.models.iter().any(|name| name == model.as_str()) && loaded == revision
+            }
+            Order::LoadAdapter { adapter, revision } => {
+                self.adapters.get(adapter) == Some(revision)
+            }
+        }
+    }
+
     pub(super) fn attempt(&mut self, attempt: &AttemptId) -> &mut AttemptCounts {
         if self.attempts.len() >= KEPT_ATTEMPTS && !self.attempts.contains_key(attempt) {
             self.attempts.pop_first();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -15,7 +15,7 @@
 
 pub use command::run_standin;
 pub use engine::{
-    AttemptCounts, EngineFaults, EngineRole, EngineSettings, EngineStats, PromptCounts,
+    AttemptCounts, EngineFaults, EngineRole, EngineSettings, EngineStats, LoadRecord, PromptCounts,
     start_engine,
 };
 pub use expected::{expected_length, expected_token, prefix_hashes, prompt_tokens};
--- a/tests/cmd_check.rs
+++ b/tests/cmd_check.rs
@@ -110,6 +110,42 @@
     ");
 }
 
+/// Guards against loads that no rate limits, or that the weight store's budget can never grant.
+#[test]
+fn loads_are_checked() {
+    let costs = r#""min_bytes_per_token": 1,"#;
+    let load = format!("{costs} \"revision\": \"r2\", \"weights_bytes\": 2000000000,");
+    insta::assert_snapshot!(check_with("unlimited", costs, &load), @"
+    DIR/unlimited.jsonc:73:51: error: model assistant: expected a member weight-store in rates
+    almondroad: DIR/unlimited.jsonc does not pass its checks. Correct the errors and run the check again.
+    exit 1
+    ");
+    let path = format!("{}/unlimited.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    let text = std::fs::read_to_string(&path).unwrap();
+    let with_rate = |burst: u64| {
+        let rate = format!(
+            r#""rates": {{ "weight-store": {{ "rate_tokens_per_s": 200, "burst_tokens": {burst} }},"#
+        );
+        std::fs::write(&path, text.replacen(r#""rates": {"#, &rate, 1)).unwrap();
+        printed(almondroad(&["check", &path])).replace(env!("CARGO_TARGET_TMPDIR"), "DIR")
+    };
+    insta::assert_snapshot!(with_rate(1000), @"
+    DIR/unlimited.jsonc:73:51: error: model assistant: expected at most the burst of weight-store, 1000 MiB; a load reads 1908 MiB
+    almondroad: DIR/unlimited.jsonc does not pass its checks. Correct the errors and run the check again.
+    exit 1
+    ");
+    assert_eq!(with_rate(2000), "exit 0");
+    let free = format!(
+        "{costs} \"revision\": \"r2\", \"adapters\": {{ \"a\": {{ \"revision\": \"\" }} }},"
+    );
+    insta::assert_snapshot!(check_with("free", costs, &free), @"
+    DIR/free.jsonc:67:5: warning: model assistant: its loads are not limited without a member weights_bytes
+    DIR/free.jsonc:73:72: error: adapter a: expected a revision
+    almondroad: DIR/free.jsonc does not pass its checks. Correct the errors and run the check again.
+    exit 1
+    ");
+}
+
 /// Guards against a misspelt, repeated or mistyped member that is silently ignored.
 #[test]
 fn contents_are_checked() {
--- a/tests/pool/fakes.rs
+++ b/tests/pool/fakes.rs
@@ -23,6 +23,13 @@
     pub events: Rc<RefCell<CacheEvents>>,
     pub is_dead: Rc<Cell<bool>>,
     pub cancels_to_lose: Rc<Cell<u32>>,
+    pub state: Rc<RefCell<EngineState>>,
+    /// Answers to orders that are lost after the order took effect.
+    pub order_answers_to_lose: Rc<Cell<u32>>,
+    pub refuses_orders: Rc<Cell<bool>>,
+    /// Newest fencing number, if the engine checks it.
+    pub newest_fencing: Rc<Cell<Fencing>>,
+    pub loads_began: Rc<RefCell<Vec<tokio::time::Instant>>>,
 }
 
 pub struct NoStream;
@@ -34,6 +41,34 @@
 }
 
 impl FakeEngine {
+    pub const LOAD_MS: u64 = 500;
+
+    fn take_effect(&self, order: &Order) {
+        let mut state = self.state.borrow_mut();
+        if let Order::SetRole { role } = order {
+            let role = if role == "prefill" { Role::Prefill } else { Role::Decode };
+            state.roles = vec![role];
+            return;
+        }
+        state.loading = Some(order.clone());
+        self.loads_began.borrow_mut().push(tokio::time::Instant::now());
+        let (engine, order) = (self.clone(), order.clone());
+        spawn_local(async move {
+            sleep_ms(FakeEngine::LOAD_MS).await;
+            let mut state = engine.state.borrow_mut();
+            state.loading = None;
+            match order {
+                Order::SetRole { .. } => {}
+                Order::LoadModel { model, revision } => {
+                    state.models.get_or_insert_default().insert(model, revision);
+                }
+                Order::LoadAdapter { adapter, revision } => {
+                    state.adapters.insert(adapter, revision);
+                }
+            }
+        });
+    }
+
     async fn answer<T>(&self, value: T) -> Result<T, EngineError> {
         tokio::time::sleep(Duration::from_millis(1)).await;
         if self.is_dead.get() { Err(EngineError::StreamCut) } else { Ok(value) }
@@ -71,8 +106,25 @@
         self.answer(LoadReport::default()).await
     }
 
+    async fn state(&self) -> Result<EngineState, EngineError> {
+        let state = self.state.borrow().clone();
+        self.answer(state).await
+    }
+
     async fn order(&self, request: &OrderRequest) -> Result<(), EngineError> {
+        if self.refuses_orders.get() {
+            return Err(EngineError::Refused { reason: "unknown_revision".into() });
+        }
+        if request.fencing < self.newest_fencing.get() {
+            return Err(EngineError::Fenced { newest: self.newest_fencing.get() });
+        }
+        self.newest_fencing.set(request.fencing);
         self.orders.borrow_mut().push(request.clone());
+        self.take_effect(&request.order);
+        if self.order_answers_to_lose.get() > 0 {
+            self.order_answers_to_lose.set(self.order_answers_to_lose.get() - 1);
+            std::future::pending::<()>().await;
+        }
         self.answer(()).await
     }
 
@@ -92,7 +144,13 @@
     type Engine = FakeEngine;
 
     fn engine(&self, address: &str) -> FakeEngine {
-        self.0.borrow_mut().entry(address.to_owned()).or_default().clone()
+        let make = || {
+            let engine = FakeEngine::default();
+            let role = if address.starts_with('p') { Role::Prefill } else { Role::Decode };
+            engine.state.borrow_mut().roles = vec![role];
+            engine
+        };
+        self.0.borrow_mut().entry(address.to_owned()).or_insert_with(make).clone()
     }
 }
 
@@ -113,6 +171,9 @@
         kv_bytes_per_token: 1000,
         prefill_us_per_token: 1000,
         min_bytes_per_token: 1,
+        revision: Default::default(),
+        weights_bytes: 0,
+        adapters: Default::default(),
     };
     let endpoint = |&(id, zone, slots): &(&str, &str, u32)| {
         let engine = EngineEndpoint {
@@ -159,10 +220,23 @@
     }
 
     pub fn gain(document: &Document, engines: &Engines) -> Owner {
+        Owner::gain_with(document, engines, Fencing(7), None)
+    }
+
+    pub fn gain_with(
+        document: &Document,
+        engines: &Engines,
+        fencing: Fencing,
+        draws: Option<WeightDraws>,
+    ) -> Owner {
         let clock = TokioClock::new();
-        let pools = Rc::new(Pools::new(engines.clone(), clock));
+        let mut pools = Pools::new(engines.clone(), clock);
+        if let Some(draws) = draws {
+            pools = pools.with_weight_draws(draws);
+        }
+        let pools = Rc::new(pools);
         pools.set_document(Rc::new(document.clone()));
-        pools.gain(shard(), Fencing(7), clock.now());
+        pools.gain(shard(), fencing, clock.now());
         let has_lease = Rc::new(Cell::new(true));
         let (running, leased) = (pools.clone(), has_lease.clone());
         let run = spawn_local(async move {
