--- a/src/bench/experiments/edits.rs
+++ b/src/bench/experiments/edits.rs
@@ -28,8 +28,8 @@
 const SECTIONS: [&str; 3] = ["rates", "rates", "zones"];
 
 /// An edit's answer, and what the document must contain from then on.
-struct Edit {
-    status: u16,
+pub(super) struct Edit {
+    pub status: u16,
     code: String,
     version: u64,
     mark: String,
@@ -80,7 +80,7 @@
     Ok(edits)
 }
 
-async fn read_section(
+pub(super) async fn read_section(
     client: &HttpClient,
     section: &str,
 ) -> Result<(HeaderValue, String), HttpError> {
@@ -94,7 +94,7 @@
     Ok((base, String::from_utf8_lossy(&text).into_owned()))
 }
 
-async fn put(
+pub(super) async fn put(
     client: HttpClient,
     section: &str,
     base: HeaderValue,
--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -12,6 +12,7 @@
 mod poison;
 mod removal;
 mod reorder;
+mod roles;
 mod service_call;
 mod silent;
 mod slopes;
@@ -44,6 +45,7 @@
     ("crossed", "engines send events of other attempts, repeat events and cut streams"),
     ("cancel", "callers go away and gateways are killed"),
     ("reorder", "calls that run at most once while every part fails"),
+    ("roles", "roles are changed and a model is loaded everywhere while an owner is killed"),
     ("slopes-idle", "cost of an idle instance against the number of instances"),
     ("slopes-document", "memory and CPU against organisations and endpoints, cost of a change"),
     ("slopes-requests", "CPU per request and token, added latency"),
@@ -85,6 +87,7 @@
         "crossed" => crossed::run(options, report).await?,
         "cancel" => cancel::run(options, report).await?,
         "reorder" => reorder::run(options, report).await?,
+        "roles" => roles::run(options, report).await?,
         "slopes-idle" => slopes::idle::run(options, report).await?,
         "slopes-document" => slopes::document::run(options, report).await?,
         "slopes-requests" => slopes::requests::run(options, report).await?,
--- /dev/null
+++ b/src/bench/experiments/roles.rs
@@ -0,0 +1,258 @@
+use std::cell::RefCell;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::bench::check::check_invariants;
+use crate::bench::experiments::edits::{put, read_section};
+use crate::bench::experiments::kill::{held_by, report_requests};
+use crate::bench::fleet_document::MODEL;
+use crate::bench::report::{Bound, PRODUCT};
+use crate::bench::resend::{LoadSwitch, send_resending};
+use crate::bench::{
+    AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Process, Report,
+};
+use crate::config::WEIGHT_STORE;
+use crate::http::HttpClient;
+use crate::standin::{EngineRole, EngineStats};
+
+const SLICES: usize = 2;
+/// Engines whose roles are exchanged, both in the first slice.
+const EXCHANGED: [&str; 2] = ["prefill-0", "decode-0"];
+const REVISION: &str = "2";
+const WEIGHTS_MIB: u64 = 512;
+const RATE_MIB_PER_S: u64 = 256;
+/// From the debit of a load's bytes to its begin: the answer to the draw and the order's call take
+/// at most 500 ms each.
+const BEGIN_LIMIT_MS: u64 = 1000;
+/// Longer than all changes one after the other at the weight store's rate, with a takeover.
+const PATIENCE: Duration = Duration::from_secs(120);
+const CALLER_PATIENCE: Duration = Duration::from_secs(15);
+const POLL: Duration = Duration::from_millis(100);
+
+/// Exchanges the roles of two engines and loads a revision on all, and kills the owner of the
+/// first slice half-way. The engines of that slice check no fencing number.
+pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
+    let mut fleet = super::small_fleet(options)
+        .engines(4, 4)
+        .slices(SLICES as u32)
+        .unfenced_slices(1)
+        .engine(|engine| (engine.load_model_ms, engine.cold_ms) = (500, 500))
+        .start()
+        .await?;
+    let streams = super::light_load(options, 8.0);
+    let caller = Caller::default();
+    let book = AddressBook::new(fleet.addresses());
+    let switch = LoadSwitch::default();
+    let load = send_resending(&caller, &book, &streams, &switch, CALLER_PATIENCE, options.seed);
+    let change = async {
+        let begun = Instant::now();
+        let changed = change_with_kill(&mut fleet, report).await;
+        tokio::time::sleep_until(begun + options.load).await;
+        switch.stop();
+        changed
+    };
+    let (requests, changed) = tokio::join!(load, change);
+    let Changed { victim, most_loading, took } = changed?;
+    report_requests(&requests, report);
+    let records: Vec<CallRecord> = requests.into_iter().flatten().collect();
+    report.value(PRODUCT, "time of the whole change", took.as_secs_f64(), "s");
+    report_cuts(&records, &victim, report);
+    let least = "engines of a slice that load at a time";
+    report.bounded(least, most_loading as f64, "engines", Bound::AtMost(1.0));
+    report_engines(&fleet, report).await?;
+    check_invariants(&fleet, &records, report).await
+}
+
+struct Changed {
+    /// Address of the gateway that was killed.
+    victim: SmolStr,
+    most_loading: usize,
+    took: Duration,
+}
+
+async fn change_with_kill(fleet: &mut Fleet, report: &Report) -> Result<Changed, BenchError> {
+    let begun = Instant::now();
+    state_wanted(fleet).await?;
+    let most_loading = RefCell::new(0);
+    let half = (fleet.prefill.len() + fleet.decode.len()) / 2;
+    wait_until(fleet, &most_loading, |engines| {
+        let loads: usize = engines.iter().map(|engine| engine.loads.len()).sum();
+        loads >= half && engines.iter().step_by(SLICES).any(|engine| engine.loading.is_some())
+    })
+    .await?;
+    let index = owner_of_first_slice(fleet).await;
+    let victim = fleet.gateways[index].address().clone();
+    fleet.gateways[index].kill();
+    report.progress(&format!("{} killed, it owns the first slice", fleet.gateways[index].name()));
+    let roles = wanted_roles(fleet);
+    wait_until(fleet, &most_loading, |engines| {
+        engines.iter().zip(&roles).all(|(engine, role)| has_wanted(engine, *role))
+    })
+    .await?;
+    let took = begun.elapsed();
+    fleet.replace_gateway(index).await?;
+    Ok(Changed { victim, most_loading: most_loading.take(), took })
+}
+
+/// Edits the document as operators do: the rate first, then what is to be loaded, then the roles.
+async fn state_wanted(fleet: &Fleet) -> Result<(), BenchError> {
+    let rate = format!(
+        "{{ \"{WEIGHT_STORE}\": {{ \"rate_tokens_per_s\": {RATE_MIB_PER_S}, \
+         \"burst_tokens\": {WEIGHTS_MIB} }},"
+    );
+    edit(fleet, "rates", |text| text.replacen('{', &rate, 1)).await?;
+    let bytes = WEIGHTS_MIB << 20;
+    let model = format!("\"revision\": \"{REVISION}\", \"weights_bytes\": {bytes}, \"max_prompt_");
+    edit(fleet, "models", |text| text.replacen("\"max_prompt_", &model, 1)).await?;
+    edit(fleet, "endpoints", |text| text.lines().map(exchange_role).collect()).await
+}
+
+fn exchange_role(line: &str) -> String {
+    let (prefill, decode) = ("\"role\": \"prefill\"", "\"role\": \"decode\"");
+    let is_exchanged = EXCHANGED.iter().any(|name| line.contains(&format!("\"{name}\":")));
+    let line = match is_exchanged {
+        true if line.contains(prefill) => line.replace(prefill, decode),
+        true => line.replace(decode, prefill),
+        false => line.to_owned(),
+    };
+    line + "\n"
+}
+
+async fn edit(
+    fleet: &Fleet,
+    section: &str,
+    change: impl Fn(&str) -> String,
+) -> Result<(), BenchError> {
+    let end = Instant::now() + CALLER_PATIENCE;
+    loop {
+        let client = HttpClient::new(fleet.gateways[0].address().clone());
+        let (base, text) = read_section(&client, section).await?;
+        let edit = put(client, section, base, change(&text), String::new()).await?;
+        if edit.status == 200 || Instant::now() > end {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Polls the engines until a condition holds, and notes how many of a slice load at a time.
+async fn wait_until(
+    fleet: &Fleet,
+    most_loading: &RefCell<usize>,
+    is_met: impl Fn(&[EngineStats]) -> bool,
+) -> Result<(), BenchError> {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        let stats = engine_stats(fleet).await?;
+        for slice in 0..SLICES {
+            let of_slice = stats.iter().skip(slice).step_by(SLICES);
+            let loading = of_slice.filter(|engine| engine.loading.is_some()).count();
+            let most = (*most_loading.borrow()).max(loading);
+            most_loading.replace(most);
+        }
+        if is_met(&stats) {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+/// Prefill and decode engines alternate between the slices by their index.
+fn engines(fleet: &Fleet) -> impl Iterator<Item = &Process> {
+    fleet.prefill.iter().chain(&fleet.decode)
+}
+
+async fn engine_stats(fleet: &Fleet) -> Result<Vec<EngineStats>, BenchError> {
+    let mut stats = Vec::new();
+    for engine in engines(fleet) {
+        stats.push(fleet.stats(engine).await?);
+    }
+    Ok(stats)
+}
+
+async fn owner_of_first_slice(fleet: &Fleet) -> usize {
+    let addresses = fleet.addresses();
+    for (index, gateway) in fleet.gateways.iter().enumerate() {
+        let held = held_by(fleet, &addresses, gateway.name()).await;
+        if held.keys().any(|shard| shard.starts_with("pool/") && shard.ends_with("/0")) {
+            return index;
+        }
+    }
+    0
+}
+
+fn wanted_roles(fleet: &Fleet) -> Vec<EngineRole> {
+    let wanted = |engine: &Process| {
+        let is_prefill = engine.name().starts_with("prefill");
+        let is_exchanged = EXCHANGED.contains(&engine.name().as_str());
+        if is_prefill != is_exchanged { EngineRole::Prefill } else { EngineRole::Decode }
+    };
+    engines(fleet).map(wanted).collect()
+}
+
+fn has_wanted(engine: &EngineStats, role: EngineRole) -> bool {
+    let revision = engine.revisions.get(MODEL).map(SmolStr::as_str);
+    engine.role == role && revision == Some(REVISION) && engine.loading.is_none()
+}
+
+/// The death of a gateway breaks its callers' connections; nothing else may cut a request.
+fn report_cuts(records: &[CallRecord], victim: &SmolStr, report: &mut Report) {
+    let is_cut = |r: &&CallRecord| matches!(r.ending, Ending::Cut { .. } | Ending::NoAnswer);
+    let cut: Vec<&CallRecord> = records.iter().filter(is_cut).collect();
+    for record in cut.iter().filter(|record| record.address != *victim).take(5) {
+        report.progress(&format!("cut at {}: {:?}", record.address, record.ending));
+    }
+    let elsewhere = cut.iter().filter(|record| record.address != *victim).count();
+    let none = Bound::AtMost(0.0);
+    report.bounded("requests cut at other gateways", elsewhere as f64, "requests", none);
+}
+
+async fn report_engines(fleet: &Fleet, report: &mut Report) -> Result<(), BenchError> {
+    let stats = engine_stats(fleet).await?;
+    let none = Bound::AtMost(0.0);
+    let roles = wanted_roles(fleet);
+    let missing = stats.iter().zip(&roles).filter(|(engine, role)| !has_wanted(engine, **role));
+    report.bounded("engines without the wanted state", missing.count() as f64, "engines", none);
+    let of_slice = |slice: usize| stats.iter().skip(slice).step_by(SLICES);
+    for (slice, what) in [(1, "checked"), (0, "unchecked")] {
+        let old: usize = of_slice(slice).map(old_orders).sum();
+        let name = format!("orders of old owners, {what}");
+        report.bounded(&name, old as f64, "orders", none);
+    }
+    let owners: std::collections::BTreeSet<u64> = of_slice(0)
+        .flat_map(|engine| engine.orders.iter().map(|order| order.fencing.get()))
+        .collect();
+    let two = Bound::AtLeast(2.0);
+    report.bounded("owners that ordered in the first slice", owners.len() as f64, "owners", two);
+    let refused: u64 = stats.iter().map(|engine| engine.work_refused).sum();
+    report.bounded("work for another role or model", refused as f64, "requests", none);
+    let loads: Vec<u64> =
+        stats.iter().flat_map(|engine| engine.loads.iter().map(|l| l.started_unix_ms)).collect();
+    report.bounded("loads", loads.len() as f64, "loads", Bound::AtLeast(stats.len() as f64));
+    let excess = excess_of_loads(loads);
+    report.bounded("loads beyond the weight store's rate", excess, "MiB", none);
+    Ok(())
+}
+
+/// Orders that took effect after one with a newer fencing number.
+fn old_orders(engine: &EngineStats) -> usize {
+    engine.orders.windows(2).filter(|pair| pair[1].fencing < pair[0].fencing).count()
+}
+
+/// Largest excess over burst + rate × interval, over all intervals between two begins of loads.
+fn excess_of_loads(mut starts: Vec<u64>) -> f64 {
+    starts.sort_unstable();
+    let mut largest = f64::NEG_INFINITY;
+    for (first, from_ms) in starts.iter().enumerate() {
+        for (last, until_ms) in starts.iter().enumerate().skip(first) {
+            let read = (last - first + 1) as f64 * WEIGHTS_MIB as f64;
+            let interval_s = (until_ms - from_ms + BEGIN_LIMIT_MS) as f64 / 1000.0;
+            let allowed = WEIGHTS_MIB as f64 + RATE_MIB_PER_S as f64 * interval_s;
+            largest = largest.max(read - allowed);
+        }
+    }
+    largest
+}
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -30,6 +30,7 @@
     engines: (usize, usize),
     plain_services: usize,
     slices: u32,
+    unfenced_slices: u32,
     slots: u32,
     engine: EngineSettings,
     platform: PlatformSettings,
@@ -61,6 +62,7 @@
             engines: deployment.engines(),
             plain_services: deployment.plain_services(),
             slices: 3,
+            unfenced_slices: 0,
             slots: 20,
             engine: engine_settings(),
             platform: PlatformSettings::default(),
@@ -93,6 +95,12 @@
         self
     }
 
+    /// Slices, counted from the first, whose engines check no fencing number.
+    pub fn unfenced_slices(mut self, unfenced_slices: u32) -> FleetBuilder {
+        self.unfenced_slices = unfenced_slices;
+        self
+    }
+
     pub fn slots(mut self, slots: u32) -> FleetBuilder {
         self.slots = slots;
         self
@@ -234,6 +242,7 @@
             link_bytes_per_s: self.engine.link_bytes_per_s,
             rates: self.rates.clone(),
             checks_fencing: self.engine.checks_fencing,
+            unfenced_slices: self.unfenced_slices,
             idle_organisations: self.idle_organisations,
         }
     }
@@ -291,6 +300,8 @@
                 _ => EngineRole::Decode,
             },
             models: vec![MODEL.into()],
+            checks_fencing: self.builder.engine.checks_fencing
+                && index as u32 % self.builder.slices >= self.builder.unfenced_slices,
             slots: self.builder.slots,
             ..self.builder.engine.clone()
         };
--- a/src/bench/fleet_document.rs
+++ b/src/bench/fleet_document.rs
@@ -54,6 +54,8 @@
     /// Rate and burst of each organisation, in the deployment's order.
     pub rates: Vec<(u64, u64)>,
     pub checks_fencing: bool,
+    /// Slices, counted from the first, whose engines check no fencing number.
+    pub unfenced_slices: u32,
     /// Organisations besides the deployment's own.
     pub idle_organisations: usize,
 }
@@ -152,7 +154,10 @@
         };
         format!(
             "    \"{name}\": {{ \"kind\": \"engine\", \"address\": \"{address}\", \"zone\": \"{zone}\", \"role\": \"{role}\", \"model\": \"{MODEL}\", \"slice\": {slice}, \"pieces\": {}, \"slots\": {}, \"link_bytes_per_s\": {}, \"checks_fencing\": {}, \"state\": \"in\" }}",
-            self.pieces, self.slots, self.link_bytes_per_s, self.checks_fencing
+            self.pieces,
+            self.slots,
+            self.link_bytes_per_s,
+            self.checks_fencing && *slice >= self.unfenced_slices
         )
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -60,3 +60,10 @@
 fn racing_edits_are_in_force_everywhere() {
     run("edits");
 }
+
+/// Guards against role changes and loads that end with their owner, cut requests, take too many
+/// engines out or exceed the weight store's rate.
+#[test]
+fn roles_and_models_change_while_an_owner_dies() {
+    run("roles");
+}
