Take out no second endpoint whose new revision has no partner

Cause: while the only prefill endpoint with the new revision was out of service, decode endpoints went on to that revision one after the other and lay idle; an endpoint that was down in mid-change blocked all others for good.

Change: an endpoint waits while another of its wanted role is open without a partner of its revision, and endpoints out of service do not count as out. What the engine reports is evaluated once a report, not at each selection.

--- a/src/cmd/fleet_status.rs
+++ b/src/cmd/fleet_status.rs
@@ -67,7 +67,8 @@
         }
         let step = match &self.next_order {
             Some(order) => order.to_string(),
-            None => format!("role {}", self.wanted_role),
+            None if self.role != self.wanted_role => format!("role {}", self.wanted_role),
+            None => return Some("done, opens next".into()),
         };
         let state = match (&self.failure, &self.waits_for, self.is_changing) {
             (Some(failure), ..) => format!("ORDER FAILED: {failure}"),
--- a/src/pool/changing.rs
+++ b/src/pool/changing.rs
@@ -154,8 +154,9 @@
     /// new revision served: the role of which less is done goes first, and the last endpoint of a
     /// role waits until the other role has only one left.
     fn in_turn(&self) -> Vec<EndpointId> {
-        let is_waiting =
-            |e: &EndpointLedger| e.change.is_none() && e.health == Health::Up && e.needs_change();
+        let is_waiting = |e: &EndpointLedger| {
+            e.change.is_none() && e.health == Health::Up && e.reported.is_some() && e.needs_change()
+        };
         let count = |role: Role, only_waiting: bool| {
             let of_role = self.endpoints.values().filter(|e| e.entry.role == role);
             of_role.filter(|e| !only_waiting || is_waiting(e)).count()
@@ -198,7 +199,22 @@
         if !self.serves_without(id) {
             return Some(format_smolstr!("another {} endpoint", endpoint.entry.role));
         }
-        None
+        // One more endpoint of the new revision is of no use until it has a partner there.
+        let is_paired = self.has_partner(endpoint);
+        let lonely = self.endpoints.iter().find(|(other, e)| {
+            *other != id
+                && e.is_open()
+                && e.entry.role == endpoint.wanted.role
+                && !self.has_partner(e)
+        });
+        let (lonely, _) = lonely.filter(|_| is_paired)?;
+        Some(format_smolstr!("a partner of {lonely}"))
+    }
+
+    /// Whether an endpoint of the other role is open with the same revision.
+    fn has_partner(&self, endpoint: &EndpointLedger) -> bool {
+        let mut open = self.endpoints.values().filter(|e| e.is_open());
+        open.any(|e| e.entry.role != endpoint.entry.role && e.revision() == endpoint.revision())
     }
 
     /// Whether other endpoints of both roles and one revision are open.
--- a/src/pool/endpoint_ledger.rs
+++ b/src/pool/endpoint_ledger.rs
@@ -33,6 +33,9 @@
     pub wanted: Wanted,
     /// What the engine said last that it has; `None` until it has answered since it came up.
     pub reported: Option<EngineState>,
+    /// Whether the engine itself says that it takes work of this role and model.
+    has_role: bool,
+    revision: Option<SmolStr>,
     /// When the question for `reported` was sent.
     pub reported_at: Instant,
     pub change: Option<Change>,
@@ -69,6 +72,8 @@
             earlier_prefills: 0,
             wanted,
             reported: None,
+            has_role: false,
+            revision: None,
             reported_at: Instant::default(),
             change: None,
             settles_until: Instant::default(),
@@ -90,32 +95,23 @@
         let role = self.entry.role;
         self.entry = EngineEndpoint { role, ..entry.clone() };
         self.wanted = wanted;
+        self.read_reported();
     }
 
     /// May get new work.
     pub fn is_open(&self) -> bool {
-        self.in_service && self.health == Health::Up && self.change.is_none() && self.has_role()
+        self.in_service && self.health == Health::Up && self.change.is_none() && self.has_role
     }
 
     /// May get new work once a probe answers.
     pub fn may_open(&self) -> bool {
-        let may_have_role = self.reported.is_none() || self.has_role();
+        let may_have_role = self.reported.is_none() || self.has_role;
         self.in_service && self.health != Health::Down && self.change.is_none() && may_have_role
     }
 
-    /// Whether the engine itself says that it takes work of this role and model.
-    fn has_role(&self) -> bool {
-        self.reported.as_ref().is_some_and(|reported| {
-            let models = reported.models.as_ref();
-            reported.loading.is_none()
-                && reported.roles.contains(&self.entry.role)
-                && models.is_none_or(|models| models.contains_key(&self.wanted.model))
-        })
-    }
-
     /// Revision of the model that the engine has. KV caches of different revisions do not mix.
     pub fn revision(&self) -> Option<&SmolStr> {
-        self.reported.as_ref()?.models.as_ref()?.get(&self.wanted.model)
+        self.revision.as_ref()
     }
 
     pub fn needs_change(&self) -> bool {
@@ -129,7 +125,8 @@
     /// Whether a change takes the endpoint's capacity from the pool now.
     pub fn is_out(&self, now: Instant) -> bool {
         let is_settling = now < self.settles_until && !self.warm_up.is_warm();
-        is_settling || self.change.as_ref().is_some_and(|change| change.takes_capacity)
+        let is_taken = self.change.as_ref().is_some_and(|change| change.takes_capacity);
+        self.in_service && (is_settling || is_taken)
     }
 
     /// Whether the endpoint is probed more often than each second.
@@ -140,11 +137,27 @@
     pub fn note_state(&mut self, state: EngineState, sent_at: Instant) {
         self.reported = Some(state);
         self.reported_at = sent_at;
+        self.read_reported();
+    }
+
+    /// Derives what each selection needs from the engine's report.
+    fn read_reported(&mut self) {
+        let Some(reported) = &self.reported else {
+            self.has_role = false;
+            self.revision = None;
+            return;
+        };
+        let models = reported.models.as_ref();
+        self.revision = models.and_then(|models| models.get(&self.wanted.model)).cloned();
+        self.has_role = reported.loading.is_none()
+            && reported.roles.contains(&self.entry.role)
+            && (models.is_none() || self.revision.is_some());
     }
 
     /// The engine has another role than this ledger was kept for.
     pub fn switch_role(&mut self, role: Role) {
         self.entry.role = role;
+        self.read_reported();
         self.restart();
     }
 
@@ -244,6 +257,7 @@
         }
         self.health = Health::Down;
         self.reported = None;
+        self.read_reported();
         self.warm_up.restart();
         self.prefills = PrefillQueue::default();
         self.cache_sequence = 0;
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use almondroad::clock::Clock;
-use almondroad::config::{Adapter, Document, Endpoint, Role};
+use almondroad::config::{Adapter, Document, Endpoint, Role, ServiceState};
 use almondroad::engine::{EngineState, Order};
 use almondroad::pool::{AdmitAnswer, AttemptEnd, WeightDraws};
 use almondroad::units::{EndpointId, Fencing, ModelId};
@@ -390,3 +390,36 @@
     })
     .await;
 }
+
+/// Guards against an endpoint that is down in mid-change and blocks all others for good, although
+/// an operator has taken it out of service.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_out_of_service_blocks_no_other() {
+    local(async {
+        let mut document = document(SMALL, &[]);
+        let owner = Owner::start(&document, &engines_at_1(SMALL)).await;
+        want_revision(&mut document, "2");
+        owner.pools.set_document(Rc::new(document.clone()));
+        while owner.engine("p0f").state.borrow().loading.is_none() {
+            sleep_ms(1).await;
+        }
+        owner.engine("p0f").is_dead.set(true);
+        sleep_ms(20_000).await;
+        assert_eq!(orders(&owner, "d0f"), []);
+        let entry = document.endpoints.get_mut(&EndpointId::new("p0f"));
+        let Some(Endpoint::Engine(entry)) = entry else { panic!("no engine") };
+        entry.state = ServiceState::Out;
+        owner.pools.set_document(Rc::new(document));
+        sleep_ms(20_000).await;
+        // The prefill endpoint that is left stays, and with it decode endpoints of its revision:
+        // one changes, the next would have no partner.
+        let revisions = ["p1f", "d0f", "d1f", "d2f"].map(|id| revision(&owner, id));
+        assert_eq!(revisions, ["1", "2", "1", "1"]);
+        assert_eq!(owner.status("d1f").waits_for.as_deref(), Some("a partner of d0f"));
+        owner.engine("p0f").is_dead.set(false);
+        sleep_ms(20_000).await;
+        assert_eq!(revision(&owner, "p0f"), "2");
+        assert_eq!(revision(&owner, "d1f"), "1");
+    })
+    .await;
+}
