--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -81,3 +81,10 @@
 fn peers_are_cut_off_from_each_other() {
     run("partition-peers");
 }
+
+/// Guards against role changes and loads that end with their owner, cut requests, take too many
+/// engines out or exceed the weight store's rate.
+#[test]
+fn roles_and_models_change_while_an_owner_dies() {
+    run("roles");
+}
