--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,5 +1,7 @@
 //! The owner of a pool, on a paused clock and a small engine.
 
+#[path = "pool/crashes.rs"]
+mod crashes;
 #[path = "pool/fakes.rs"]
 mod fakes;
 #[path = "pool/properties.rs"]
--- a/tests/pool/properties.rs
+++ b/tests/pool/properties.rs
@@ -288,13 +288,13 @@
     served.take()
 }
 
-fn block_on<T>(test: impl Future<Output = T>) -> T {
+pub fn block_on<T>(test: impl Future<Output = T>) -> T {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_time().start_paused(true).build().unwrap();
     LocalSet::new().block_on(&runtime, test)
 }
 
-fn config(cases: u32, seed: u64) -> ProptestConfig {
+pub fn config(cases: u32, seed: u64) -> ProptestConfig {
     ProptestConfig {
         cases,
         rng_seed: RngSeed::Fixed(seed),
