Measure the charge by requests, tokens and engine time

The choice to charge tokens had no figures. The experiment `charges` puts the product's buckets and allowances in front of gateways with rates that never bind, and sends the same flood of long prompts under each of the three charges in one run.

Conclusion: charge by tokens stays.

--- a/src/bench/experiments/flood.rs
+++ b/src/bench/experiments/flood.rs
@@ -17,9 +17,9 @@
 /// Mean tokens of a request of `Stream::new`: 325 of the prompt and about 95 of the answer.
 const TOKENS_PER_REQUEST: f64 = 420.0;
 /// What organisations within their rate send, as a part of it.
-const PART_OF_RATE: f64 = 0.8;
+pub(super) const PART_OF_RATE: f64 = 0.8;
 const BURST_S: f64 = 4.0;
-const FLOOD_FACTOR: f64 = 5.0;
+pub(super) const FLOOD_FACTOR: f64 = 5.0;
 
 /// One organisation sends five times its rate; the others stay within theirs.
 pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
@@ -46,8 +46,8 @@
     let whole = Limit { rate, burst: rate * BURST_S, gateways: 1 };
     let split = Limit { gateways: fleet.gateways.len(), ..whole };
     let steady = since(&records, WARM_UP);
-    let within = passed_by(&whole, &steady);
-    let split_passes = passed_by(&split, &steady);
+    let within = passed_by(&whole, &steady, tokens_of);
+    let split_passes = passed_by(&split, &steady, tokens_of);
     let (mut all, mut refused, mut split_refused) = (0, 0, 0);
     for (at, record) in steady.iter().enumerate() {
         if record.organisation == flooding || !within[at] {
@@ -82,7 +82,7 @@
 }
 
 /// Least share of requests within both targets among the organisations within their rate.
-fn worst_served(records: &[CallRecord], flooding: &str) -> f64 {
+pub(super) fn worst_served(records: &[CallRecord], flooding: &str) -> f64 {
     let mut served: HashMap<&SmolStr, (f64, f64)> = HashMap::new();
     for record in records.iter().filter(|record| record.organisation != flooding) {
         let (in_time, all) = served.entry(&record.organisation).or_default();
@@ -94,15 +94,25 @@
 
 /// A rate limit that is split evenly over gateways.
 #[derive(Clone, Copy)]
-struct Limit {
-    rate: f64,
-    burst: f64,
-    gateways: usize,
+pub(super) struct Limit {
+    pub rate: f64,
+    pub burst: f64,
+    pub gateways: usize,
 }
 
-/// Which of the arrivals buckets of this limit pass, each charged with the tokens that the
-/// request uses. With one gateway it tells which requests are within the rate.
-fn passed_by(limit: &Limit, records: &[CallRecord]) -> Vec<bool> {
+/// Tokens that a request uses.
+fn tokens_of(record: &CallRecord) -> f64 {
+    let length = expected_length(&record.prompt, record.max_tokens);
+    (prompt_tokens(&record.prompt) + length) as f64
+}
+
+/// Which of the arrivals buckets of this limit pass, each charged with what the request uses. With
+/// one gateway it tells which requests are within the rate.
+pub(super) fn passed_by(
+    limit: &Limit,
+    records: &[CallRecord],
+    used: impl Fn(&CallRecord) -> f64,
+) -> Vec<bool> {
     let parts = limit.gateways as f64;
     let mut buckets: HashMap<(SmolStr, SmolStr), (f64, u64)> = HashMap::new();
     let mut order: Vec<usize> = (0..records.len()).collect();
@@ -117,8 +127,7 @@
         let elapsed_s = (record.sent_at_ms - *since_ms) as f64 / 1000.0;
         *level = (*level + elapsed_s * limit.rate / parts).min(burst);
         *since_ms = record.sent_at_ms;
-        let length = expected_length(&record.prompt, record.max_tokens);
-        let tokens = (prompt_tokens(&record.prompt) + length) as f64;
+        let tokens = used(record);
         if *level >= tokens {
             *level -= tokens;
             passed[at] = true;
--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments, one a file. Each starts its own fleet and ends by itself.
 
 mod cancel;
+mod charges;
 mod cold;
 mod crossed;
 mod edits;
@@ -28,6 +29,7 @@
 pub const EXPERIMENTS: &[(&str, &str)] = &[
     ("peak", "load near the engines' capacity: goodput and latency targets"),
     ("flood", "one organisation sends five times its rate"),
+    ("charges", "the same with long prompts, charged by requests, tokens and engine time"),
     ("zone", "an availability zone leaves under load and returns"),
     ("halve", "half of the endpoints leave under load and return"),
     ("cold", "decode endpoints turn cold without notice"),
@@ -72,6 +74,7 @@
         "zone" => return zone::run(options, report).await,
         "halve" => return halve::run(options, report).await,
         "cold" => return cold::run(options, report).await,
+        "charges" => charges::run(options, report).await?,
         "kill" => kill::run(options, report).await?,
         "store-outage" => store_outage::run(options, Victim::None, report).await?,
         "store-outage-kill" => store_outage::run(options, Victim::Killed, report).await?,
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod bench_error;
 mod call_record;
 mod caller;
+mod charged;
 mod deployment;
 mod fleet;
 mod fleet_document;
