Test repeated loads and orders in flight at a takeover

Cause: with loads shorter than the wait before a repeat, the tests passed without the check that a load is in progress, and without the wait for the previous owner's orders.

Change: loads of the fake engines take 6 s, and a test brings about a late load order at a takeover.

--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -11,7 +11,7 @@
 
 use almondroad::clock::Clock;
 use almondroad::config::{Adapter, Document, Endpoint, Role, ServiceState};
-use almondroad::engine::{EngineState, Order};
+use almondroad::engine::{Engine, EngineState, Order, OrderRequest};
 use almondroad::pool::{AdmitAnswer, AttemptEnd, WeightDraws};
 use almondroad::units::{EndpointId, Fencing, ModelId};
 use fakes::*;
@@ -162,7 +162,7 @@
         }
         want_revision(&mut document, "2");
         owner.pools.set_document(Rc::new(document));
-        settled(&owner, 60_000).await;
+        settled(&owner, 120_000).await;
         for (id, ..) in SMALL {
             assert_eq!(orders(&owner, id), [(7, load("2"))], "{id}");
         }
@@ -207,7 +207,7 @@
         old.stop();
         let new = Owner::gain_with(&document, &engines, Fencing(8), None);
         let begun = new.clock.now();
-        settled(&new, 60_000).await;
+        settled(&new, 120_000).await;
         assert_eq!(orders(&new, "p0f"), [(7, load("2"))]);
         for id in ["p1f", "d0f", "d1f", "d2f"] {
             assert_eq!(orders(&new, id), [(8, load("2"))], "{id}");
@@ -269,7 +269,7 @@
         owner.pools.set_document(Rc::new(document));
         let (mut most_out, mut sequence) = (0, 0);
         let mut is_done = false;
-        for _ in 0..4000 {
+        for _ in 0..8000 {
             let status = owner.pools.status(&shard());
             most_out = most_out.max(status.iter().filter(|s| s.is_changing).count());
             sequence += 1;
@@ -305,7 +305,7 @@
         want_role(&mut document, "p0f", Role::Decode);
         want_role(&mut document, "d0f", Role::Prefill);
         let owner = Owner::start(&document, &Engines::default()).await;
-        settled(&owner, 60_000).await;
+        settled(&owner, 120_000).await;
         // The prefill endpoint had to wait for the new one.
         let first = orders(&owner, "d0f").len();
         assert_eq!((first, orders(&owner, "p0f").len()), (1, 1));
@@ -352,13 +352,13 @@
 #[tokio::test(start_paused = true)]
 async fn each_load_is_drawn_from_the_weight_store() {
     local(async {
-        const GAP: Duration = Duration::from_secs(8);
+        const GAP: Duration = Duration::from_secs(15);
         let mut document = document(SMALL, &[]);
         let engines = engines_at_1(SMALL);
         let next = Rc::new(Cell::new(Instant::now() + GAP));
         let drawn = Rc::new(RefCell::new(0));
         let (next_draw, total) = (next.clone(), drawn.clone());
-        // Grants one load every 8 s, as a budget of a burst of one load does.
+        // Grants one load every 15 s, as a budget of a burst of one load does.
         let draws: WeightDraws = Rc::new(move |bytes| {
             let (next, total) = (next_draw.clone(), total.clone());
             Box::pin(async move {
@@ -379,7 +379,7 @@
         });
         stopping.await.unwrap();
         let new = Owner::gain_with(&document, &engines, Fencing(8), Some(draws));
-        settled(&new, 120_000).await;
+        settled(&new, 240_000).await;
         let engines = SMALL.iter().map(|(id, ..)| new.engine(id));
         let mut began: Vec<Instant> =
             engines.flat_map(|engine| engine.loads_began.borrow().clone()).collect();
@@ -423,3 +423,25 @@
     })
     .await;
 }
+
+/// Guards against a new owner that takes out an endpoint while the old owner's order to another is
+/// still in flight.
+#[tokio::test(start_paused = true)]
+async fn an_order_in_flight_at_the_takeover_counts() {
+    local(async {
+        let mut document = document(SMALL, &[]);
+        let engines = engines_at_1(SMALL);
+        want_revision(&mut document, "2");
+        let new = Owner::gain_with(&document, &engines, Fencing(8), None);
+        sleep_ms(1900).await;
+        let late = OrderRequest { fencing: Fencing(7), order: load("2") };
+        new.engine("d2f").order(&late).await.unwrap();
+        for _ in 0..100 {
+            sleep_ms(50).await;
+            let status = new.pools.status(&shard());
+            assert!(status.iter().filter(|s| s.is_changing).count() <= 1, "{status:?}");
+        }
+        assert!(new.status("d2f").is_changing);
+    })
+    .await;
+}
--- a/tests/pool/fakes.rs
+++ b/tests/pool/fakes.rs
@@ -41,7 +41,8 @@
 }
 
 impl FakeEngine {
-    pub const LOAD_MS: u64 = 500;
+    /// Longer than an owner waits before it repeats an order.
+    pub const LOAD_MS: u64 = 6000;
 
     fn take_effect(&self, order: &Order) {
         let mut state = self.state.borrow_mut();
