--- a/src/pool/pool_state.rs
+++ b/src/pool/pool_state.rs
@@ -42,8 +42,6 @@
 }
 
 impl PoolState {
-    /// A pool's first owner has no predecessor whose attempts it could not know.
-    const FIRST_FENCING: Fencing = Fencing(1);
     /// Reports come each second, so after three without it an attempt's gateway has gone.
     pub const SILENCE_MS: u64 = 3000;
 
@@ -172,7 +170,7 @@
             model: self.model.as_ref()?,
             endpoints: &self.endpoints,
             kept: &self.kept,
-            knows_all: self.fencing <= Self::FIRST_FENCING || now >= self.nothing_freed_before,
+            knows_all: now >= self.nothing_freed_before,
             prefixes: &self.prefixes,
             prompt_ratios: &self.prompt_ratios,
             short_share: if all_ms > 0.0 { self.short_prefill_ms / all_ms } else { 0.0 },
