Hold no request responsible for an endpoint that it never reached

Cause: an attempt whose connection was refused reported the death of the endpoint as one under it. The owner counted it among the requests that ran there: a suspect was refused with 422 although it had run once, and the requests that really ran there were not held responsible. Change: a finished attempt says whether the endpoint was unreached (a new field of the peer protocol; older instances do not send it and are taken to have reached the endpoint). The owner takes the endpoint down as before, but leaves this attempt out of those that ran there. The test expects 503 no_endpoint with outcome `run` when the prompt has run once, in each order of events; a new test starts the killed engine again once the other has crashed and expects 422 with `run`, then 422 with `not_run`.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -154,6 +154,8 @@
   outputTokens @3 :UInt64;
   firstTokenMs @4 :UInt64;
   decodeMs @5 :UInt64;
+  # The endpoint refused the connection, so the attempt did not run there.
+  unreached @6 :Bool;
 }
 
 struct Progress {
--- a/src/peer/decode.rs
+++ b/src/peer/decode.rs
@@ -200,6 +200,7 @@
             wire::AttemptEnd::PrefillWasted => AttemptEnd::PrefillWasted,
         },
         endpoint: if endpoint.clone()?.is_empty() { None } else { Some(parse(endpoint)?) },
+        is_unreached: from.get_unreached(),
         output_tokens: Tokens(from.get_output_tokens()),
         first_token_ms: from.get_first_token_ms(),
         decode_ms: from.get_decode_ms(),
--- a/src/peer/encode.rs
+++ b/src/peer/encode.rs
@@ -189,6 +189,7 @@
     to.set_output_tokens(from.output_tokens.0);
     to.set_first_token_ms(from.first_token_ms);
     to.set_decode_ms(from.decode_ms);
+    to.set_unreached(from.is_unreached);
 }
 
 pub(super) fn progress_list(
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -5000,6 +5000,10 @@
         pub fn get_decode_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_unreached(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5118,6 +5122,14 @@
         pub fn set_decode_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_unreached(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_unreached(&mut self, value: bool)  {
+            self.builder.set_bool_field(16, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5129,7 +5141,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(160, 56, 225, 175, 119, 80, 163, 142),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -5139,7 +5151,7 @@
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5147,49 +5159,56 @@
             ::capnp::word(104, 101, 100, 65, 116, 116, 101, 109),
             ::capnp::word(112, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5242,6 +5261,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 99, 104, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5251,6 +5279,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5264,9 +5293,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,1,2,4,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,1,2,4,3,6];
         pub(crate) const TYPE_ID: u64 = 0x8ea3_5077_afe1_38a0;
     }
 }
--- a/src/pool/finished_attempt.rs
+++ b/src/pool/finished_attempt.rs
@@ -8,6 +8,9 @@
     pub end: AttemptEnd,
     /// The endpoint that failed.
     pub endpoint: Option<EndpointId>,
+    /// The endpoint refused the connection. The attempt did not run there and cannot have caused
+    /// its death.
+    pub is_unreached: bool,
     pub output_tokens: Tokens,
     pub first_token_ms: u64,
     pub decode_ms: u64,
--- a/src/pool/reconciliation.rs
+++ b/src/pool/reconciliation.rs
@@ -25,7 +25,9 @@
     pub fn finish(&mut self, finished: &FinishedAttempt, now: Instant) -> Vec<(Fingerprint, bool)> {
         let attempt = &finished.attempt;
         let ran = match (&finished.endpoint, finished.end) {
-            (Some(endpoint), AttemptEnd::EndpointDied) => self.running_on(endpoint),
+            (Some(endpoint), AttemptEnd::EndpointDied) => {
+                self.running_on(endpoint, finished.is_unreached.then_some(attempt))
+            }
             _ => Vec::new(),
         };
         self.ended.insert(attempt.clone(), now);
@@ -55,13 +57,18 @@
         Vec::new()
     }
 
-    fn running_on(&self, endpoint: &EndpointId) -> Vec<(Fingerprint, bool)> {
-        let runs = |reservation: &&Reservation| {
+    /// The requests that run on an endpoint, but for an attempt that did not reach it.
+    fn running_on(
+        &self,
+        endpoint: &EndpointId,
+        unreached: Option<&AttemptId>,
+    ) -> Vec<(Fingerprint, bool)> {
+        let runs = |reservation: &Reservation| {
             reservation.decode == *endpoint
                 || (reservation.prefill == *endpoint && reservation.output_tokens.get() == 0)
         };
-        let running = self.reservations.values().filter(runs);
-        running.map(|reservation| (reservation.fingerprint, reservation.is_suspect)).collect()
+        let running = self.reservations.iter().filter(|(id, r)| Some(*id) != unreached && runs(r));
+        running.map(|(_, reservation)| (reservation.fingerprint, reservation.is_suspect)).collect()
     }
 
     fn note_output(
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 use crate::http::HttpError;
 use crate::pool::{AttemptEnd, FinishedAttempt, Plan};
 use crate::serve::cleanup::Cleanup;
-use crate::serve::prefill::is_dead;
+use crate::serve::prefill::{is_dead, is_refused};
 use crate::serve::{Call, LiveAttempt, RunEvent};
 use crate::units::{AttemptId, EndpointId, ShardId, Tokens};
 
@@ -60,6 +60,8 @@
     Endpoint {
         endpoint: EndpointId,
         died: bool,
+        /// It refused the connection, so that nothing of the attempt ran on it.
+        is_unreached: bool,
         error: EngineError,
     },
 }
@@ -120,6 +122,7 @@
         let mut source = Some(source);
         let mut reconnects = 0;
         let mut was_silent = false;
+        let mut is_unreached = true;
         loop {
             let first_index = produced.tokens.len() as u64;
             let error = match self.decode(source.take(), first_index).await {
@@ -130,6 +133,7 @@
                 Err(error) => error,
             };
             self.check_deadline()?;
+            is_unreached &= is_refused(&error);
             if produced.tokens.len() as u64 > first_index {
                 reconnects = 0;
                 was_silent = false;
@@ -140,7 +144,7 @@
                 // The attempt never reached the engine over the silent connection.
                 let is_lost = was_silent && error == EngineError::UnknownAttempt;
                 let error = if is_lost { EngineError::Silent } else { error };
-                return Err(self.decode_failed(error).await);
+                return Err(self.decode_failed(error, is_unreached).await);
             }
             reconnects += 1;
             was_silent |= error == EngineError::Silent;
@@ -229,13 +233,13 @@
         }
     }
 
-    async fn decode_failed(&self, error: EngineError) -> AttemptError {
+    async fn decode_failed(&self, error: EngineError, is_unreached: bool) -> AttemptError {
         if error == EngineError::PrefillExpired || error == EngineError::TransferStalled {
             metrics::counter!("almondroad_prefills_wasted_total").increment(1);
         }
         let engine = self.node.engines.get(&self.plan.decode_address);
         let died = is_dead(&engine, &error).await;
-        AttemptError::Endpoint { endpoint: self.plan.decode.clone(), died, error }
+        AttemptError::Endpoint { endpoint: self.plan.decode.clone(), died, is_unreached, error }
     }
 
     fn check_deadline(&self) -> Result<(), AttemptError> {
@@ -266,6 +270,7 @@
                 (end, Some(endpoint.clone()))
             }
         };
+        let is_unreached = matches!(ended, Err(AttemptError::Endpoint { is_unreached: true, .. }));
         let first_token_ms =
             produced.first_token_at.map_or(0, |first| first.ms_since(self.started_at));
         let decode_ms = match (produced.first_token_at, produced.last_token_at) {
@@ -276,6 +281,7 @@
             attempt: self.id.clone(),
             end,
             endpoint,
+            is_unreached,
             output_tokens: produced.output_tokens(),
             first_token_ms,
             decode_ms,
@@ -303,6 +309,7 @@
             attempt: self.id.clone(),
             end: AttemptEnd::Cancelled,
             endpoint: None,
+            is_unreached: false,
             output_tokens: Tokens(0),
             first_token_ms: 0,
             decode_ms: 0,
--- a/src/serve/prefill.rs
+++ b/src/serve/prefill.rs
@@ -39,11 +39,13 @@
                 Ok(Err(error)) => break error,
             }
         };
-        if reconnects == 0 && is_refused(&error) {
+        let is_unreached = reconnects == 0 && is_refused(&error);
+        if is_unreached {
             produced.was_sent = was_sent;
         }
         let died = is_dead(&engine, &error).await;
-        Err(AttemptError::Endpoint { endpoint: self.plan.prefill.clone(), died, error })
+        let endpoint = self.plan.prefill.clone();
+        Err(AttemptError::Endpoint { endpoint, died, is_unreached, error })
     }
 
     /// Waits for the prefill. A prefill may take seconds, so its progress is seen from what the
@@ -78,7 +80,7 @@
     }
 }
 
-fn is_refused(error: &EngineError) -> bool {
+pub(super) fn is_refused(error: &EngineError) -> bool {
     matches!(error, EngineError::Http(HttpError::Connect { .. }))
 }
 
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -422,19 +422,48 @@
 }
 
 /// Guards against a refusal that says `not_run` since the last endpoint was not reached, although
-/// an earlier one ran the request.
+/// an earlier one ran the request, and against one that holds the request responsible for an
+/// endpoint that it never reached.
 #[tokio::test]
 async fn a_request_that_ran_is_not_refused_as_not_run() {
     run_with(2, async |world| {
-        // The first prefill engine is in the gateway's zone, so it is tried first.
+        // Whether the owner knows it yet or not: the request crashes the other engine only.
         world.fleet.prefill[1].kill();
         let bearer = bearer();
         let auth = [("authorization", bearer.as_str())];
         let body = completion("hem !crash-prefill").to_string();
         let seen = world.send(Method::POST, COMPLETIONS, &auth, body).await;
         let code = &seen.json()["error"]["code"];
+        assert_eq!((seen.status, code), (503, &json!("no_endpoint")));
+        assert_eq!(seen.outcome(), "run", "{}", seen.text);
+    })
+    .await;
+}
+
+/// Guards against a request that stops asking while the pool has no engine, and against a request
+/// that runs again after it has crashed two.
+#[tokio::test]
+async fn a_request_that_crashed_two_engines_is_refused_as_run() {
+    run_with(2, async |mut world| {
+        world.fleet.prefill[1].kill();
+        let bearer = bearer();
+        let auth = [("authorization", bearer.as_str())];
+        let body = completion("hem !crash-prefill").to_string();
+        let mut first = world.fleet.prefill.remove(0);
+        let seen = world.send(Method::POST, COMPLETIONS, &auth, body.clone());
+        let restart = async {
+            first.wait().await;
+            world.fleet.restart_standin(&world.fleet.prefill[0], "engine").await.unwrap()
+        };
+        let (seen, mut second) = tokio::join!(seen, restart);
+        let code = &seen.json()["error"]["code"];
         assert_eq!((seen.status, code), (422, &json!("request_crashes_endpoints")));
         assert_eq!(seen.outcome(), "run", "{}", seen.text);
+        assert_eq!(second.wait().await, Some(1), "the second engine did not crash");
+        let seen = world.send(Method::POST, COMPLETIONS, &auth, body).await;
+        let code = &seen.json()["error"]["code"];
+        assert_eq!((seen.status, code), (422, &json!("request_crashes_endpoints")));
+        assert_eq!(seen.outcome(), "not_run", "{}", seen.text);
     })
     .await;
 }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -11,7 +11,7 @@
 use almondroad::clock::Clock;
 use almondroad::config::ServiceState;
 use almondroad::engine::{CacheEvent, CacheEvents, Order};
-use almondroad::pool::{Admission, AdmitAnswer, AttemptEnd, Class, Plan};
+use almondroad::pool::{Admission, AdmitAnswer, AttemptEnd, Class, FinishedAttempt, Plan};
 use almondroad::units::{EndpointId, OrganisationId, Pieces, Tokens, ZoneId};
 use fakes::*;
 use tokio::task::{LocalSet, spawn_local};
@@ -169,6 +169,25 @@
     .await;
 }
 
+/// Guards against a request that is held responsible for the death of an endpoint that it never
+/// reached, and that takes the blame of those that ran there.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_did_not_reach_a_dead_endpoint_is_not_held_responsible() {
+    local(async {
+        let owner = Owner::start(&document(SMALL, &[]), &Engines::default()).await;
+        let neighbour = admission("g", 1, "o");
+        let plan = owner.run(neighbour.clone()).await;
+        let reporter = Admission { is_suspect: true, ..admission("g", 2, "o") };
+        owner.run(reporter.clone()).await;
+        let refused = finished(&reporter.attempt, AttemptEnd::EndpointDied, Some(&plan.decode));
+        let refused = FinishedAttempt { is_unreached: true, ..refused };
+        let ran = owner.pools.finish(&shard(), refused);
+        assert_eq!(ran, [(neighbour.fingerprint, false)]);
+        assert!(!owner.status("d0").is_up);
+    })
+    .await;
+}
+
 /// Guards against overload of an endpoint that starts cold, or goes cold again while it runs.
 #[tokio::test(start_paused = true)]
 async fn slots_double_with_progress_and_a_drop_of_speed_brings_back_two() {
--- a/tests/pool/fakes.rs
+++ b/tests/pool/fakes.rs
@@ -198,15 +198,7 @@
     }
 
     pub fn finish(&self, attempt: &AttemptId, end: AttemptEnd, endpoint: Option<&EndpointId>) {
-        let finished = FinishedAttempt {
-            attempt: attempt.clone(),
-            end,
-            endpoint: endpoint.cloned(),
-            output_tokens: Tokens(10),
-            first_token_ms: 50,
-            decode_ms: 300,
-        };
-        self.pools.finish(&shard(), finished);
+        self.pools.finish(&shard(), finished(attempt, end, endpoint));
     }
 
     pub fn report(&self, gateway: &str, attempts: &[(&Admission, &Plan, u64)]) {
@@ -231,6 +223,22 @@
     }
 }
 
+pub fn finished(
+    attempt: &AttemptId,
+    end: AttemptEnd,
+    endpoint: Option<&EndpointId>,
+) -> FinishedAttempt {
+    FinishedAttempt {
+        attempt: attempt.clone(),
+        end,
+        endpoint: endpoint.cloned(),
+        is_unreached: false,
+        output_tokens: Tokens(10),
+        first_token_ms: 50,
+        decode_ms: 300,
+    }
+}
+
 pub fn pieces(admission: &Admission) -> Pieces {
     Pieces((admission.prompt_tokens + admission.max_output_tokens).get().div_ceil(10))
 }
