--- a/src/pool/reconciliation.rs
+++ b/src/pool/reconciliation.rs
@@ -26,7 +26,9 @@
     pub fn finish(&mut self, finished: &FinishedAttempt, now: Instant) -> Vec<RanRequest> {
         let attempt = &finished.attempt;
         let ran = match (&finished.endpoint, finished.end) {
-            (Some(endpoint), AttemptEnd::EndpointDied) => self.running_on(endpoint),
+            (Some(endpoint), AttemptEnd::EndpointDied) => {
+                self.running_on(endpoint, finished.is_unreached.then_some(attempt))
+            }
             _ => Vec::new(),
         };
         self.ended.insert(attempt.clone(), now);
@@ -56,19 +58,20 @@
         Vec::new()
     }
 
-    fn running_on(&self, endpoint: &EndpointId) -> Vec<RanRequest> {
-        let runs = |reservation: &&Reservation| {
+    /// The requests that run on an endpoint, but for an attempt that did not reach it.
+    fn running_on(&self, endpoint: &EndpointId, unreached: Option<&AttemptId>) -> Vec<RanRequest> {
+        let runs = |reservation: &Reservation| {
             reservation.decode == *endpoint
                 || (reservation.prefill == *endpoint && reservation.output_tokens.get() == 0)
         };
-        let running = self.reservations.values().filter(runs);
+        let running = self.reservations.iter().filter(|(id, r)| Some(*id) != unreached && runs(r));
         let ran = |reservation: &Reservation| RanRequest {
             fingerprint: reservation.fingerprint,
             output_tokens: reservation.output_tokens,
             is_suspect: reservation.is_suspect,
             is_proven: reservation.is_proven(),
         };
-        running.map(ran).collect()
+        running.map(|(_, reservation)| ran(reservation)).collect()
     }
 
     fn note_output(
