Read documents without a tree of values

Cause: a document of 2.3 MB was read through trees of values and positions, whose memory stayed with the process, and a map node of 640 B was kept for each organisation's keys.

Change: comments are blanked with the parser's scanner and the text is read straight into the types; positions are made for the first finding only; keys are a slice; a small edit parses only its entry. The tree is still used to report errors.

--- a/src/bench/experiments/slopes/document.rs
+++ b/src/bench/experiments/slopes/document.rs
@@ -76,6 +76,8 @@
     let cpu_ms = (after.cpu_ns() - before.cpu_ns()) as f64 / 1e6 - idle_cpu_ms;
     report.value(variant, "peer bytes of a change per instance", bytes / share, "B");
     report.value(variant, "CPU of a change per instance", cpu_ms / share, "ms");
+    let settled = measure(fleet, Duration::from_secs(1)).await?;
+    report.value(variant, "resident memory after the changes", settled.resident_kb, "KB");
     let limit = Bound::AtMost(IN_FORCE_LIMIT_MS);
     report.bounded(&format!("slowest change of {variant}"), slowest_ms, "ms", limit);
     Ok(())
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,5 +1,6 @@
 //! Checks of the whole document across its sections.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use smol_str::{SmolStr, ToSmolStr};
@@ -7,22 +8,30 @@
 use crate::config::{
     Document, Endpoint, EngineEndpoint, Finding, Role, SECTIONS, Severity, Target,
 };
-use crate::jsonc::{Positions, Step, read_jsonc};
+use crate::jsonc::{JsoncError, Positions, Step, may_have_duplicate_members, read_jsonc};
 use crate::units::{KeyHash, ModelId, RegionId};
 
 /// Reads and checks a document. Returns it with all findings; `None` if a finding is an error.
 pub fn check_document(text: &str) -> (Option<Document>, Vec<Finding>) {
     let error = |at| Finding::new(Severity::Error, at);
-    let positions = match Positions::parse(text) {
-        Ok(positions) => positions,
-        Err(at) => return (None, vec![error(at)]),
-    };
     let document = match read_jsonc(text) {
         Ok(document) => document,
-        Err(at) => return (None, vec![error(at)]),
+        Err(at) => {
+            let at = Positions::parse(text).err().unwrap_or(at);
+            return (None, vec![error(at)]);
+        }
     };
-    let findings = positions.duplicate_members().into_iter().map(error).collect();
-    let mut checker = Checker { document: &document, positions, findings };
+    let mut checker =
+        Checker { document: &document, text, positions: OnceCell::new(), findings: Vec::new() };
+    if may_have_duplicate_members(text) {
+        match Positions::parse(text) {
+            Ok(positions) => {
+                checker.findings = positions.duplicate_members().into_iter().map(error).collect();
+                let _ = checker.positions.set(positions);
+            }
+            Err(at) => return (None, vec![error(at)]),
+        }
+    }
     checker.run();
     let mut findings = checker.findings;
     findings.sort_by_key(|f| (f.line, f.column));
@@ -34,7 +43,10 @@
 
 struct Checker<'a> {
     document: &'a Document,
-    positions: Positions<'a>,
+    text: &'a str,
+    /// Made for the first finding: positions of all values of a long document take more than
+    /// 20 MB, and most documents have no findings.
+    positions: OnceCell<Positions<'a>>,
     findings: Vec<Finding>,
 }
 
@@ -49,13 +61,18 @@
         self.check_routes();
     }
 
+    fn error_at(&self, path: &[Step], message: String) -> JsoncError {
+        let positions = self.positions.get_or_init(|| Positions::of_valid(self.text));
+        positions.error_at(path, message)
+    }
+
     fn error(&mut self, path: &[Step], message: String) {
-        let at = self.positions.error_at(path, message);
+        let at = self.error_at(path, message);
         self.findings.push(Finding::new(Severity::Error, at));
     }
 
     fn warning(&mut self, path: &[Step], message: String) {
-        let at = self.positions.error_at(path, message);
+        let at = self.error_at(path, message);
         self.findings.push(Finding::new(Severity::Warning, at));
     }
 
@@ -99,7 +116,7 @@
         for (id, organisation) in &self.document.organisations {
             let at = [Member("organisations"), Member(id.as_str())];
             self.require_positive(&at, &[("weight", organisation.weight.into())]);
-            for (name, key) in &organisation.keys {
+            for (name, key) in organisation.keys.iter() {
                 if let Some(other) = seen.insert(key.sha256, format!("{id}/{name}").into()) {
                     let path = [&at[..], &[Member("keys"), Member(name)]].concat();
                     let message = format!("key {id}/{name}: expected another hash than {other}'s");
--- a/src/config/document_text.rs
+++ b/src/config/document_text.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::config::{Change, ConfigError, Splice};
-use crate::jsonc::{JsoncError, Positions, member_ranges};
+use crate::jsonc::{JsoncError, member_ranges, value_range};
 use crate::units::ContentHash;
 
 /// Names of the sections, in the order in which examples list them.
@@ -99,7 +99,7 @@
         Some(sections.collect())
     }
 
-    fn range(&self, name: &str) -> Option<Range<usize>> {
+    pub(super) fn range(&self, name: &str) -> Option<Range<usize>> {
         self.sections.iter().find(|(n, _)| n == name).map(|(_, range)| range.clone())
     }
 
@@ -115,8 +115,7 @@
 /// The one value in `text`, without the space around it. Comments outside the value are refused:
 /// they would stand outside the section.
 fn single_value(text: &str) -> Result<&str, JsoncError> {
-    let range = Positions::parse(text)?
-        .value_range()
+    let range = value_range(text)?
         .ok_or_else(|| JsoncError::at_offset(text, 0, "expected a value, found nothing"))?;
     let (before, after) = (&text[..range.start], &text[range.end..]);
     for (outside, start) in [(before, 0), (after, range.end)] {
--- /dev/null
+++ b/src/config/entry_text.rs
@@ -0,0 +1,58 @@
+use std::ops::Range;
+
+use crate::config::DocumentText;
+use crate::jsonc::member_ranges;
+
+/// One entry of a section in a document of its own, with the layout around it. A syntax tree that
+/// keeps the layout of a whole document of 2.3 MB would take more memory than the instance may.
+pub(super) struct EntryText<'a> {
+    section: &'a str,
+    section_name: &'a str,
+    name: &'a str,
+    /// The entry's value in the section.
+    range: Range<usize>,
+    pub document: String,
+}
+
+impl<'a> EntryText<'a> {
+    /// `None` if the entry does not exist or does not start a line.
+    pub fn of(text: &'a DocumentText, section_name: &'a str, name: &'a str) -> Option<Self> {
+        let section_range = text.range(section_name)?;
+        let section = &text.as_str()[section_range.clone()];
+        let range = entry_range(section, name)?;
+        let section_lead = line_lead(text.as_str(), section_range.start);
+        let indent = &section_lead[..section_lead.len() - section_lead.trim_start().len()];
+        let lead = line_lead(section, range.start);
+        let value = &section[range.clone()];
+        let document =
+            format!("{{\n{indent}\"{section_name}\": {{\n{lead}{value}\n{indent}}}\n}}\n");
+        let entry = EntryText { section, section_name, name, range, document };
+        (entry.value_in(&entry.document)? == value).then_some(entry)
+    }
+
+    /// The section with the entry as it is in the edited document.
+    pub fn section_after(&self, edited: &str) -> Option<String> {
+        let value = self.value_in(edited)?;
+        let (before, after) = (&self.section[..self.range.start], &self.section[self.range.end..]);
+        Some([before, value, after].concat())
+    }
+
+    /// The value of the entry in a document that has only this entry.
+    fn value_in<'d>(&self, document: &'d str) -> Option<&'d str> {
+        let [(section_name, section)] = member_ranges(document).ok()?.try_into().ok()?;
+        let section = &document[section];
+        let [(name, value)] = member_ranges(section).ok()?.try_into().ok()?;
+        (section_name == self.section_name && name == self.name).then(|| &section[value])
+    }
+}
+
+fn entry_range(section: &str, name: &str) -> Option<Range<usize>> {
+    let entries = member_ranges(section).ok()?;
+    entries.into_iter().find(|(entry, _)| entry == name).map(|(_, range)| range)
+}
+
+/// The text between the start of the line and `at`.
+fn line_lead(text: &str, at: usize) -> &str {
+    let start = text[..at].rfind('\n').map_or(0, |end| end + 1);
+    &text[start..at]
+}
--- a/src/config/in_force.rs
+++ b/src/config/in_force.rs
@@ -35,7 +35,7 @@
         witnesses: Option<Rc<[Witness]>>,
     ) -> InForce {
         let keys = document.organisations.iter().flat_map(|(id, organisation)| {
-            organisation.keys.values().map(|key| (key.sha256, id.clone()))
+            organisation.keys.iter().map(|(_, key)| (key.sha256, id.clone()))
         });
         let organisations = Rc::new(keys.collect());
         InForce { version, document: Rc::new(document), text, witnesses, organisations }
--- a/src/config/organisation.rs
+++ b/src/config/organisation.rs
@@ -1,9 +1,6 @@
-use std::collections::BTreeMap;
-
 use serde::Deserialize;
-use smol_str::SmolStr;
 
-use crate::config::Key;
+use crate::config::Keys;
 
 /// A customer whose callers use keys.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -11,7 +8,7 @@
 pub struct Organisation {
     /// Keys by name.
     #[serde(default)]
-    pub keys: BTreeMap<SmolStr, Key>,
+    pub keys: Keys,
     /// Share of an endpoint's capacity relative to other organisations.
     #[serde(default = "default_weight")]
     pub weight: u32,
--- a/src/config/small_edit.rs
+++ b/src/config/small_edit.rs
@@ -3,6 +3,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::clock::Clock;
+use crate::config::entry_text::EntryText;
 use crate::config::{ConfigError, ConfigWitnesses, Configuration, DocumentText, ServiceState};
 use crate::jsonc::JsoncError;
 use crate::platform::{Objects, Table};
@@ -29,10 +30,32 @@
         }
     }
 
+    fn entry(&self) -> &str {
+        match self {
+            SmallEdit::AddKey { organisation, .. }
+            | SmallEdit::WithdrawKey { organisation, .. } => organisation.as_str(),
+            SmallEdit::SetZone { zone, .. } => zone.as_str(),
+            SmallEdit::SetEndpoint { endpoint, .. } => endpoint.as_str(),
+        }
+    }
+
     /// The section's text after the edit.
     pub fn apply(&self, text: &DocumentText) -> Result<String, ConfigError> {
-        let root = CstRootNode::parse(text.as_str(), &ParseOptions::default())
-            .map_err(|e| JsoncError::at_offset(text.as_str(), e.range().start, e.to_string()))
+        if let Some(entry) = EntryText::of(text, self.section(), self.entry()) {
+            let edited = self.apply_to(&entry.document)?;
+            if let Some(section) = entry.section_after(&edited) {
+                return Ok(section);
+            }
+        }
+        let edited = self.apply_to(text.as_str())?;
+        let edited = DocumentText::parse(&edited).map_err(ConfigError::invalid)?;
+        Ok(edited.section(self.section()).unwrap_or_default().to_owned())
+    }
+
+    /// The document after the edit.
+    fn apply_to(&self, document: &str) -> Result<String, ConfigError> {
+        let root = CstRootNode::parse(document, &ParseOptions::default())
+            .map_err(|e| JsoncError::at_offset(document, e.range().start, e.to_string()))
             .map_err(ConfigError::invalid)?;
         let section = root
             .object_value()
@@ -55,8 +78,7 @@
                 set_state(&entry(&section, "endpoint", endpoint.as_str())?, *state);
             }
         }
-        let edited = DocumentText::parse(&root.to_string()).map_err(ConfigError::invalid)?;
-        Ok(edited.section(self.section()).unwrap_or_default().to_owned())
+        Ok(root.to_string())
     }
 }
 
--- a/src/jsonc/locate.rs
+++ b/src/jsonc/locate.rs
@@ -8,9 +8,15 @@
 use smol_str::SmolStr;
 
 use crate::jsonc::JsoncError;
+use crate::jsonc::plain::{plain_json, plain_member_ranges, plain_value_range};
 
 /// Name and byte range of the value of each member of the document's top-level object.
 pub fn member_ranges(text: &str) -> Result<Vec<(SmolStr, Range<usize>)>, JsoncError> {
+    let plain = plain_json(text);
+    if let Some(ranges) = plain.as_deref().and_then(plain_member_ranges) {
+        return Ok(ranges);
+    }
+    drop(plain);
     let value = parse(text)?;
     let Some(Value::Object(object)) = value else {
         return Err(JsoncError::at_offset(text, 0, "expected an object"));
@@ -22,6 +28,16 @@
     Ok(members.collect())
 }
 
+/// Byte range of the top-level value; `None` if the text has none.
+pub fn value_range(text: &str) -> Result<Option<Range<usize>>, JsoncError> {
+    let plain = plain_json(text);
+    if let Some(range) = plain.as_deref().and_then(plain_value_range) {
+        return Ok(Some(range));
+    }
+    drop(plain);
+    Ok(parse(text)?.map(|value| value.range().start..value.range().end))
+}
+
 /// Byte offset of the value at a path of member names and array indices, or of the innermost
 /// value on the path that exists.
 pub fn position_of_path(text: &str, path: &serde_path_to_error::Path) -> usize {
--- a/src/jsonc/positions.rs
+++ b/src/jsonc/positions.rs
@@ -1,6 +1,5 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::ops::Range;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
@@ -33,9 +32,12 @@
         Ok(Positions { text, root: parse(text)?, line_starts, places: RefCell::default() })
     }
 
-    /// Byte range of the top-level value.
-    pub fn value_range(&self) -> Option<Range<usize>> {
-        self.root.as_ref().map(|value| value.range().start..value.range().end)
+    /// Positions in a text that has been read before. A text that does not parse has no values,
+    /// and errors in it are reported at its start.
+    pub fn of_valid(text: &'a str) -> Positions<'a> {
+        let line_starts = vec![0];
+        let empty = Positions { text, root: None, line_starts, places: RefCell::default() };
+        Positions::parse(text).unwrap_or(empty)
     }
 
     /// An error at the value that `path` leads to, or at the innermost value on the path that
--- a/src/jsonc/read.rs
+++ b/src/jsonc/read.rs
@@ -2,11 +2,22 @@
 use serde::de::DeserializeOwned;
 
 use crate::jsonc::locate::options;
+use crate::jsonc::plain::plain_json;
 use crate::jsonc::{JsoncError, position_of_path};
 
 /// Reads a typed value. An unknown member, a wrong type or a value out of range is reported at
 /// its position in the text.
 pub fn read_jsonc<T: DeserializeOwned>(text: &str) -> Result<T, JsoncError> {
+    let plain = plain_json(text);
+    if let Some(Ok(value)) = plain.as_deref().map(serde_json::from_str) {
+        return Ok(value);
+    }
+    drop(plain);
+    read_by_value(text)
+}
+
+/// Reads by way of a tree of values, to find the position of an error.
+fn read_by_value<T: DeserializeOwned>(text: &str) -> Result<T, JsoncError> {
     let value: serde_json::Value = parse_to_serde_value(text, &options())
         .map_err(|e| JsoncError::at_offset(text, e.range().start, e.kind().to_string()))?;
     serde_path_to_error::deserialize(value).map_err(|error| {
--- a/tests/pool/fakes.rs
+++ b/tests/pool/fakes.rs
@@ -7,7 +7,7 @@
 
 use almondroad::clock::{Clock, Instant, TokioClock};
 use almondroad::config::{
-    Document, Endpoint, EngineEndpoint, Model, Organisation, Role, ServiceState, Zone,
+    Document, Endpoint, EngineEndpoint, Keys, Model, Organisation, Role, ServiceState, Zone,
 };
 use almondroad::engine::*;
 use almondroad::pool::*;
@@ -130,7 +130,7 @@
         (EndpointId::new(id), Endpoint::Engine(engine))
     };
     let organisation = |&(id, weight): &(&str, u32)| {
-        (OrganisationId::new(id), Organisation { keys: BTreeMap::new(), weight })
+        (OrganisationId::new(id), Organisation { keys: Keys::default(), weight })
     };
     Document {
         zones: engines.iter().map(|engine| zone(engine.1)).collect(),
