--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -33,13 +33,30 @@
 }
 
 struct Heartbeat {
+  # Without addresses, zone and region when the receiver knows them.
   sender @0 :Member;
-  # Recent member changes, at most 32.
+  # Members that changed recently, at most 2, and members asked for, at most 32.
   members @1 :List(Member);
   # Shard holders that changed recently, at most 32.
   holdings @2 :List(Holding);
   confirmation @3 :Confirmation;
+  # Suspicions that are new, and the others in turn, at most 32.
   suspects @4 :List(Suspect);
+  # Live members by the low bits of their heartbeat counters. They are divided into 16 groups by
+  # key % 16; a key is a hash of instance and incarnation. Consecutive groups from the first one:
+  # the hash of the keys, the number of members, and the counters in the order of keys.
+  firstGroup @5 :UInt8;
+  groupHashes @6 :List(UInt32);
+  groupSizes @7 :Data;
+  counters @8 :Data;
+  # Live members of one group by key, with three bytes for each: low bits of the counter, counter
+  # steps since the load was measured, and the load in parts of 4 permille.
+  namedKeys @9 :List(UInt32);
+  namedStates @10 :Data;
+  # Keys whose records the sender asks for.
+  wanted @11 :List(UInt32);
+  # Asks for all live members by key and for all known holders.
+  wantsAll @12 :Bool;
 }
 
 # A request that ran on an endpoint when the endpoint died.
@@ -217,4 +234,6 @@
   noteVersion @14 (version :UInt64, witnessIncarnation :UInt64) -> (noted :Bool);
   # Asks a configuration witness for the newest version that it has noted.
   notedVersion @15 (witnessIncarnation :UInt64) -> (valid :Bool, version :UInt64);
+  # Notices a silent connection that carries no heartbeats.
+  ping @16 () -> ();
 }
--- a/src/config/catch_up.rs
+++ b/src/config/catch_up.rs
@@ -48,8 +48,12 @@
     async fn keep_confirmed(&self) {
         loop {
             let started = tokio::time::Instant::now();
-            tokio::join!(self.confirm_by_store(), self.confirm_without_store());
-            let period = if self.is_confirmed() { CONFIRMED_PERIOD } else { UNCONFIRMED_PERIOD };
+            let (has_store, ()) =
+                tokio::join!(self.confirm_by_store(), self.confirm_without_store());
+            // Without the store, a peer's confirmation that spared the witnesses a question is up
+            // to a second old already and would not last for the longer period.
+            let is_lasting = has_store && self.is_confirmed();
+            let period = if is_lasting { CONFIRMED_PERIOD } else { UNCONFIRMED_PERIOD };
             tokio::time::sleep_until(started + period).await;
         }
     }
@@ -83,10 +87,13 @@
         }
     }
 
-    async fn confirm_by_store(&self) {
-        if let Err(error) = self.read_head().await {
+    /// Returns whether the head row was read.
+    async fn confirm_by_store(&self) -> bool {
+        let read = self.read_head().await;
+        if let Err(error) = &read {
             log::warn!(target: LOG, "head row not read: {error}");
         }
+        read.is_ok()
     }
 
     fn is_fresh(&self) -> bool {
--- a/src/gateway/heartbeats.rs
+++ b/src/gateway/heartbeats.rs
@@ -1,15 +1,18 @@
 use crate::clock::Instant;
 use crate::gateway::Node;
-use crate::peer::{Heartbeat, HeartbeatSource};
+use crate::peer::{Heartbeat, HeartbeatSource, Member};
 
 impl HeartbeatSource for Node {
-    fn next_heartbeat(&self) -> Heartbeat {
+    fn next_heartbeat(&self, is_first: bool) -> Heartbeat {
+        let load_permille = self.load_permille();
+        let sender = match is_first {
+            true => self.membership.full_record(load_permille),
+            false => self.membership.brief_record(load_permille),
+        };
         Heartbeat {
-            sender: self.membership.next_heartbeat_member(self.load_permille()),
-            members: self.membership.gossip(Heartbeat::MAX_ENTRIES),
-            holdings: self.leases.recent_holdings(Heartbeat::MAX_ENTRIES),
-            confirmation: self.configuration.confirmation(),
-            suspicions: self.suspects.recent(Heartbeat::MAX_ENTRIES),
+            wanted: self.membership.wanted(Heartbeat::MAX_ENTRIES),
+            wants_all: self.membership.needs_all(is_first),
+            ..self.heartbeat_to(sender, &[], false)
         }
     }
 
@@ -25,3 +28,34 @@
         self.configuration.learn_confirmation(answer.confirmation, sent_at);
     }
 }
+
+impl Node {
+    /// Holders told to an instance that asks for all. There are 172 shards at full size.
+    const MAX_HOLDINGS_TO_NEW: usize = 512;
+
+    /// The answer to a peer's heartbeat. The peer knows this instance, since it has its address.
+    pub fn answer_heartbeat(&self, asked: &Heartbeat) -> Heartbeat {
+        let sender = self.membership.brief_record(self.load_permille());
+        self.heartbeat_to(sender, &asked.wanted, asked.wants_all)
+    }
+
+    fn heartbeat_to(&self, sender: Member, wanted: &[u32], to_new: bool) -> Heartbeat {
+        let holdings = match to_new {
+            true => self.leases.known_holdings(Self::MAX_HOLDINGS_TO_NEW),
+            false => self.leases.recent_holdings(Heartbeat::MAX_ENTRIES),
+        };
+        Heartbeat {
+            sender,
+            members: self.membership.records(wanted),
+            digest: self.membership.digest(to_new),
+            wanted: Vec::new(),
+            wants_all: false,
+            holdings,
+            confirmation: self.configuration.confirmation(),
+            suspicions: match to_new {
+                true => self.suspects.newest(Heartbeat::MAX_ENTRIES),
+                false => self.suspects.recent(Heartbeat::MAX_ENTRIES),
+            },
+        }
+    }
+}
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -12,7 +12,7 @@
 impl PeerService for Node {
     fn heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
         self.hear(&heartbeat, self.clock.now());
-        self.next_heartbeat()
+        self.answer_heartbeat(&heartbeat)
     }
 
     fn holders(&self, shards: &[ShardId]) -> Vec<Holding> {
--- a/src/lease/known_holdings.rs
+++ b/src/lease/known_holdings.rs
@@ -6,8 +6,9 @@
 /// Heartbeats and answers that carry a change. With some sixteen a second, every neighbour that
 /// an instance has within four seconds hears of it.
 const SENDS_OF_CHANGE: u32 = 64;
-/// Unchanged holdings in each message, in turn, for instances that missed a change.
-const ROTATING: usize = 2;
+/// Unchanged holdings in each message, in turn, for instances that missed a change. New instances
+/// ask for all of them.
+const ROTATING: usize = 1;
 
 /// The newest known holder of each shard.
 #[derive(Debug, Default)]
@@ -29,6 +30,10 @@
         self.by_shard.get(shard).map(|known| known.holding.clone())
     }
 
+    pub fn all(&self, max: usize) -> Vec<Holding> {
+        self.by_shard.values().take(max).map(|known| known.holding.clone()).collect()
+    }
+
     /// True if the holding is newer than the known one.
     pub fn learn(&mut self, holding: Holding) -> bool {
         let known = self.by_shard.get(&holding.shard).map(|known| known.holding.fencing);
--- a/src/lease/leases.rs
+++ b/src/lease/leases.rs
@@ -109,6 +109,11 @@
         self.state.borrow_mut().known.recent(max)
     }
 
+    /// All known holders, for a peer that has just started.
+    pub fn known_holdings(&self, max: usize) -> Vec<Holding> {
+        self.state.borrow().known.all(max)
+    }
+
     /// Witness side: promises to consent to no takeover of this fencing number for the TTL.
     pub fn extend(&self, claim: &LeaseClaim) -> bool {
         if claim.witness_incarnation != self.own().incarnation || self.knows_newer(&claim.holding) {
--- a/src/peer/decode.rs
+++ b/src/peer/decode.rs
@@ -8,12 +8,13 @@
 use crate::clock::Instant;
 use crate::config::{Change, Confirmation};
 use crate::lease::{Holding, LeaseClaim};
-use crate::peer::{Heartbeat, Member, PeerError, RequestClaim};
+use crate::peer::{Digest, Heartbeat, Member, NamedMember, PeerError, RequestClaim};
 use crate::peer_capnp as wire;
 use crate::pool::{Admission, AdmitAnswer, AttemptEnd, Class, FinishedAttempt, Plan, Progress};
 use crate::suspect::Suspicion;
 use crate::units::{
-    Fencing, Fingerprint, Incarnation, Pieces, ShardId, Tokens, UnitError, Version,
+    Fencing, Fingerprint, Incarnation, Pieces, RegionId, ShardId, Tokens, UnitError, Version,
+    ZoneId,
 };
 
 type Decoded<T> = Result<T, PeerError>;
@@ -33,8 +34,9 @@
         incarnation: Incarnation(from.get_incarnation()),
         peer_address: smol(from.get_peer_address())?,
         http_address: smol(from.get_http_address())?,
-        zone: parse(from.get_zone())?,
-        region: parse(from.get_region())?,
+        // Empty in a brief record.
+        zone: ZoneId::new(from.get_zone()?.to_str()?),
+        region: RegionId::new(from.get_region()?.to_str()?),
         is_leaving: from.get_leaving(),
         heartbeat_counter: from.get_heartbeat_counter(),
         load_permille: from.get_load_permille(),
@@ -81,10 +83,28 @@
     }
 }
 
+fn digest(from: wire::heartbeat::Reader<'_>) -> Decoded<Digest> {
+    let states = from.get_named_states()?.as_chunks::<3>().0;
+    let named = from.get_named_keys()?.iter().zip(states).map(|(key, state)| {
+        let [counter, load_age, load] = *state;
+        NamedMember { key, counter, load_age, load }
+    });
+    Ok(Digest {
+        first_group: from.get_first_group(),
+        group_hashes: from.get_group_hashes()?.iter().collect(),
+        group_sizes: from.get_group_sizes()?.to_vec(),
+        counters: from.get_counters()?.to_vec(),
+        named: named.collect(),
+    })
+}
+
 pub(super) fn heartbeat(from: wire::heartbeat::Reader<'_>) -> Decoded<Heartbeat> {
     Ok(Heartbeat {
         sender: member(from.get_sender()?)?,
         members: from.get_members()?.iter().map(member).collect::<Decoded<_>>()?,
+        digest: digest(from)?,
+        wanted: from.get_wanted()?.iter().collect(),
+        wants_all: from.get_wants_all(),
         holdings: holdings(from.get_holdings()?)?,
         confirmation: confirmation(from.get_confirmation()?),
         suspicions: from.get_suspects()?.iter().map(suspicion).collect(),
--- a/src/peer/encode.rs
+++ b/src/peer/encode.rs
@@ -5,7 +5,7 @@
 use crate::budget::{DrawAnswer, DrawRequest};
 use crate::config::{Change, Confirmation};
 use crate::lease::{Holding, LeaseClaim};
-use crate::peer::{Heartbeat, Member, RequestClaim};
+use crate::peer::{Digest, Heartbeat, Member, RequestClaim};
 use crate::peer_capnp as wire;
 use crate::pool::{Admission, AdmitAnswer, AttemptEnd, Class, FinishedAttempt, Plan, Progress};
 use crate::suspect::Suspicion;
@@ -14,10 +14,12 @@
 pub(super) fn member(mut to: wire::member::Builder<'_>, from: &Member) {
     to.set_instance(from.instance.as_str());
     to.set_incarnation(from.incarnation.0);
-    to.set_peer_address(from.peer_address.as_str());
-    to.set_http_address(from.http_address.as_str());
-    to.set_zone(from.zone.as_str());
-    to.set_region(from.region.as_str());
+    if !from.is_brief() {
+        to.set_peer_address(from.peer_address.as_str());
+        to.set_http_address(from.http_address.as_str());
+        to.set_zone(from.zone.as_str());
+        to.set_region(from.region.as_str());
+    }
     to.set_leaving(from.is_leaving);
     to.set_heartbeat_counter(from.heartbeat_counter);
     to.set_load_permille(from.load_permille);
@@ -64,14 +66,46 @@
     to.set_remaining_ms(from.remaining_ms);
 }
 
+fn numbers(mut to: capnp::primitive_list::Builder<'_, u32>, from: &[u32]) {
+    for (i, number) in from.iter().enumerate() {
+        to.set(i as u32, *number);
+    }
+}
+
+fn digest(mut to: wire::heartbeat::Builder<'_>, from: &Digest) {
+    to.set_first_group(from.first_group);
+    if !from.group_hashes.is_empty() {
+        let hashes = to.reborrow().init_group_hashes(from.group_hashes.len() as u32);
+        numbers(hashes, &from.group_hashes);
+        to.set_group_sizes(&from.group_sizes);
+        to.set_counters(&from.counters);
+    }
+    if !from.named.is_empty() {
+        let keys: Vec<u32> = from.named.iter().map(|named| named.key).collect();
+        numbers(to.reborrow().init_named_keys(keys.len() as u32), &keys);
+        let states = from.named.iter().flat_map(|n| [n.counter, n.load_age, n.load]);
+        to.set_named_states(&states.collect::<Vec<u8>>());
+    }
+}
+
 pub(super) fn heartbeat(mut to: wire::heartbeat::Builder<'_>, from: &Heartbeat) {
     member(to.reborrow().init_sender(), &from.sender);
-    let mut members = to.reborrow().init_members(from.members.len() as u32);
-    for (i, item) in from.members.iter().enumerate() {
-        member(members.reborrow().get(i as u32), item);
+    if !from.members.is_empty() {
+        let mut members = to.reborrow().init_members(from.members.len() as u32);
+        for (i, item) in from.members.iter().enumerate() {
+            member(members.reborrow().get(i as u32), item);
+        }
     }
     holdings(to.reborrow().init_holdings(from.holdings.len() as u32), &from.holdings);
     confirmation(to.reborrow().init_confirmation(), &from.confirmation);
+    digest(to.reborrow(), &from.digest);
+    if !from.wanted.is_empty() {
+        numbers(to.reborrow().init_wanted(from.wanted.len() as u32), &from.wanted);
+    }
+    to.set_wants_all(from.wants_all);
+    if from.suspicions.is_empty() {
+        return;
+    }
     let mut suspects = to.init_suspects(from.suspicions.len() as u32);
     for (i, item) in from.suspicions.iter().enumerate() {
         suspicion(suspects.reborrow().get(i as u32), item);
--- /dev/null
+++ b/src/peer/known.rs
@@ -0,0 +1,125 @@
+use crate::clock::Instant;
+use crate::peer::{Digest, Member, NamedMember};
+use crate::platform::{ListedInstance, ListedState};
+
+/// Silence after which the low bits of a counter no longer tell older from newer.
+const COUNTER_WINDOW_MS: u64 = 30_000;
+/// Counter steps that count as newer; the other half of the range counts as older.
+const NEWER_STEPS: u8 = 127;
+
+/// A member as this instance knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Known {
+    pub member: Member,
+    pub key: u32,
+    /// When the member's heartbeat counter last grew. `None` until its first heartbeat.
+    pub heard_at: Option<Instant>,
+    /// When this instance learnt of the run or of its leaving. Peers are told for some seconds.
+    pub changed_at: Option<Instant>,
+    /// Heartbeat counter at which the load was measured.
+    load_counter: u64,
+    /// Whether the platform's list has shown this incarnation.
+    pub was_listed: bool,
+    /// First of the successful reads in a row that did not show this incarnation.
+    pub unlisted_since: Option<Instant>,
+}
+
+impl Known {
+    pub fn heard(member: &Member, now: Instant) -> Known {
+        Known {
+            member: member.clone(),
+            key: Digest::key(&member.instance, member.incarnation),
+            heard_at: Some(now),
+            changed_at: Some(now),
+            load_counter: member.heartbeat_counter,
+            was_listed: false,
+            unlisted_since: None,
+        }
+    }
+
+    pub fn listed(entry: &ListedInstance) -> Known {
+        Known {
+            member: from_list(entry),
+            key: Digest::key(&entry.instance, entry.incarnation),
+            heard_at: None,
+            changed_at: None,
+            load_counter: 0,
+            was_listed: true,
+            unlisted_since: None,
+        }
+    }
+
+    pub fn heard_within(&self, now: Instant, limit_ms: u64) -> bool {
+        self.heard_at.is_some_and(|heard| now.ms_since(heard) < limit_ms)
+    }
+
+    pub fn changed_within(&self, now: Instant, limit_ms: u64) -> bool {
+        self.changed_at.is_some_and(|changed| now.ms_since(changed) < limit_ms)
+    }
+
+    /// Takes in a record of the same run.
+    pub fn update(&mut self, member: &Member, now: Instant) {
+        // A run that leaves never returns, so leaving counts even with an older counter.
+        if member.is_leaving && !self.member.is_leaving {
+            self.member.is_leaving = true;
+            self.changed_at = Some(now);
+        }
+        if member.heartbeat_counter > self.load_counter {
+            self.load_counter = member.heartbeat_counter;
+            self.member.load_permille = member.load_permille;
+        }
+        if member.heartbeat_counter > self.member.heartbeat_counter {
+            self.member.heartbeat_counter = member.heartbeat_counter;
+            self.heard_at = Some(now);
+        }
+    }
+
+    /// Takes in the low bits of the run's counter.
+    pub fn note_counter(&mut self, counter: u8, now: Instant) {
+        let steps = counter.wrapping_sub(self.member.heartbeat_counter as u8);
+        let is_lost = !self.heard_within(now, COUNTER_WINDOW_MS);
+        if is_lost || (1..=NEWER_STEPS).contains(&steps) {
+            self.member.heartbeat_counter += u64::from(steps);
+            self.heard_at = Some(now);
+        }
+    }
+
+    pub fn note_named(&mut self, named: &NamedMember, now: Instant) {
+        self.note_counter(named.counter, now);
+        let behind = (self.member.heartbeat_counter as u8).wrapping_sub(named.counter);
+        let age = u64::from(behind) + u64::from(named.load_age);
+        let measured = self.member.heartbeat_counter.saturating_sub(age);
+        if named.load_age < u8::MAX && behind <= NEWER_STEPS && measured > self.load_counter {
+            self.load_counter = measured;
+            self.member.load_permille = u32::from(named.load) * Digest::LOAD_STEP_PERMILLE;
+        }
+    }
+
+    pub fn named(&self) -> NamedMember {
+        let load_age = self.member.heartbeat_counter.saturating_sub(self.load_counter);
+        NamedMember {
+            key: self.key,
+            counter: self.member.heartbeat_counter as u8,
+            load_age: load_age.min(u64::from(u8::MAX)) as u8,
+            load: load_part(self.member.load_permille),
+        }
+    }
+}
+
+pub(super) fn load_part(load_permille: u32) -> u8 {
+    (load_permille / Digest::LOAD_STEP_PERMILLE).min(u32::from(u8::MAX)) as u8
+}
+
+fn from_list(entry: &ListedInstance) -> Member {
+    Member {
+        instance: entry.instance.clone(),
+        incarnation: entry.incarnation,
+        peer_address: entry.peer_address.clone(),
+        http_address: entry.http_address.clone(),
+        zone: entry.zone.clone(),
+        region: entry.region.clone(),
+        is_leaving: entry.state == ListedState::Leaving,
+        heartbeat_counter: 0,
+        load_permille: 0,
+    }
+}
--- /dev/null
+++ b/src/peer/link_task.rs
@@ -0,0 +1,101 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::peer::connection::Connection;
+use crate::peer::{HeartbeatSource, PeerClient, PeerError};
+
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1000);
+/// Period of pings over a connection that only calls use. An owner of a budget shard is called by
+/// up to the whole fleet; a call that times out brings a ping at once.
+const CALL_LINK_PING_PERIOD: Duration = Duration::from_secs(5);
+const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// Unanswered heartbeats or pings after which a connection counts as silent and is replaced.
+const MAX_MISSED_HEARTBEATS: u32 = 2;
+
+/// Holds the connection to one peer open and notices when it has gone silent.
+pub(super) struct LinkTask<C, S> {
+    pub clock: C,
+    pub address: String,
+    pub source: Rc<S>,
+    pub client: watch::Sender<Option<PeerClient>>,
+    /// Connections that only calls use carry no heartbeats.
+    pub is_neighbour: watch::Receiver<bool>,
+}
+
+impl<C: Clock, S: HeartbeatSource> LinkTask<C, S> {
+    /// Holds the connection open until the link is dropped.
+    pub async fn run(mut self, mut stopped: watch::Receiver<()>) {
+        tokio::select! {
+            _ = stopped.changed() => {}
+            () = self.keep_connected() => {}
+        }
+    }
+
+    async fn keep_connected(&mut self) {
+        loop {
+            match Connection::open(&self.address).await {
+                Ok(connection) => {
+                    self.client.send_replace(Some(connection.client.clone()));
+                    self.keep_alive(&connection).await;
+                    self.client.send_replace(None);
+                }
+                Err(error) => {
+                    log::debug!(target: "peer", "cannot connect to {}: {error}", self.address);
+                }
+            }
+            tokio::time::sleep(RECONNECT_DELAY).await;
+        }
+    }
+
+    /// Returns when the connection has closed or gone silent.
+    async fn keep_alive(&mut self, connection: &Connection) {
+        let mut missed = 0;
+        let mut is_first = true;
+        while missed < MAX_MISSED_HEARTBEATS && !connection.is_closed() {
+            let is_neighbour = *self.is_neighbour.borrow_and_update();
+            let answered = if is_neighbour {
+                self.exchange_heartbeats(connection, is_first).await
+            } else {
+                connection.client.ping().await
+            };
+            match answered {
+                Ok(()) => {
+                    missed = 0;
+                    is_first &= !is_neighbour;
+                    self.pause(connection, is_neighbour).await;
+                }
+                Err(error) => {
+                    missed += 1;
+                    log::debug!(target: "peer", "no answer of {}: {error}", self.address);
+                }
+            }
+        }
+    }
+
+    async fn exchange_heartbeats(
+        &self,
+        connection: &Connection,
+        is_first: bool,
+    ) -> Result<(), PeerError> {
+        let sent_at = self.clock.now();
+        let heartbeat = self.source.next_heartbeat(is_first);
+        let answer = connection.client.heartbeat(&heartbeat).await?;
+        self.source.hear(&answer, sent_at);
+        Ok(())
+    }
+
+    /// Waits until the next heartbeat or ping.
+    async fn pause(&mut self, connection: &Connection, is_neighbour: bool) {
+        if is_neighbour {
+            return tokio::time::sleep(HEARTBEAT_PERIOD).await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(CALL_LINK_PING_PERIOD) => {}
+            () = connection.client.timed_out() => {}
+            _ = self.is_neighbour.changed() => {}
+        }
+    }
+}
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -17,3 +17,15 @@
     /// Share of the member's request slots in use.
     pub load_permille: u32,
 }
+
+impl Member {
+    /// The record without what does not change during a run, for peers that know the run.
+    pub fn brief(self) -> Member {
+        let (zone, region) = (ZoneId::new(""), RegionId::new(""));
+        Member { peer_address: "".into(), http_address: "".into(), zone, region, ..self }
+    }
+
+    pub fn is_brief(&self) -> bool {
+        self.peer_address.is_empty()
+    }
+}
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -3,14 +3,15 @@
 
 use crate::clock::{Clock, Instant};
 use crate::hash::rendezvous_order;
-use crate::peer::{Heartbeat, Member};
-use crate::platform::{ListedInstance, ListedState};
+use crate::peer::known::Known;
+use crate::peer::{Digest, Member};
+use crate::platform::ListedInstance;
 use crate::units::{Incarnation, InstanceId};
 
 /// Silence after which a member counts as dead in this instance's view.
-const DEAD_AFTER_MS: u64 = 5_000;
+pub(super) const DEAD_AFTER_MS: u64 = 5_000;
 /// Silence after which gossip about another incarnation of the member is believed.
-const SUSPECT_AFTER_MS: u64 = 3_000;
+pub(super) const SUSPECT_AFTER_MS: u64 = 3_000;
 /// Longest lag of the platform's list.
 const LIST_LAG_MS: u64 = 60_000;
 /// A read of the list counts as current for this long.
@@ -22,48 +23,42 @@
 const FULL_MESH_MEMBERS: usize = 9;
 /// Neighbours chosen by rendezvous order, and as many at random, in larger fleets.
 const STABLE_NEIGHBOURS: usize = 4;
-
-/// Members that each heartbeat carries: this part of the fleet, and at least the least number.
-const GOSSIP_DIVISOR: usize = 10;
-const MIN_GOSSIP: usize = 2;
+/// The heartbeat counter grows by one in this time. Its low eight bits repeat after 64 s.
+const COUNTER_STEP_MS: u64 = 250;
 
 /// This instance's view of the fleet. It is a hint: safety rests on leases.
 pub struct Membership<C> {
-    clock: C,
-    own: RefCell<Member>,
-    known: RefCell<BTreeMap<InstanceId, Known>>,
+    pub(super) clock: C,
+    pub(super) started_at: Instant,
+    pub(super) own: RefCell<Member>,
+    pub(super) own_key: u32,
+    pub(super) known: RefCell<BTreeMap<InstanceId, Known>>,
+    /// Keys that peers named and this instance does not know, with the time they were last seen.
+    pub(super) unknown: RefCell<BTreeMap<u32, Instant>>,
     list_read_at: Cell<Option<Instant>>,
-    gossip_cursor: RefCell<usize>,
-}
-
-#[derive(Clone, Debug)]
-struct Known {
-    member: Member,
-    /// When the member's heartbeat counter last grew. `None` until its first heartbeat.
-    heard_at: Option<Instant>,
-    /// Whether the platform's list has shown this incarnation.
-    was_listed: bool,
-    /// First of the successful reads in a row that did not show this incarnation.
-    unlisted_since: Option<Instant>,
+    pub(super) news_cursor: Cell<usize>,
+    pub(super) digest_round: Cell<u32>,
 }
 
 impl<C: Clock> Membership<C> {
     pub fn new(own: Member, clock: C) -> Membership<C> {
         Membership {
+            started_at: clock.now(),
             clock,
+            own_key: Digest::key(&own.instance, own.incarnation),
             own: RefCell::new(own),
             known: RefCell::default(),
+            unknown: RefCell::default(),
             list_read_at: Cell::default(),
-            gossip_cursor: RefCell::new(0),
+            news_cursor: Cell::default(),
+            digest_round: Cell::default(),
         }
     }
 
-    /// This instance, with a new heartbeat counter.
-    pub fn next_heartbeat_member(&self, load_permille: u32) -> Member {
-        let mut own = self.own.borrow_mut();
-        own.heartbeat_counter += 1;
-        own.load_permille = load_permille;
-        own.clone()
+    /// The heartbeat counter of this instance. Peers compare it with their last one, never with
+    /// their clock.
+    pub(super) fn counter(&self) -> u64 {
+        self.clock.now().ms_since(self.started_at) / COUNTER_STEP_MS + 1
     }
 
     pub fn own(&self) -> Member {
@@ -126,35 +121,6 @@
         known.was_listed && is_list_current && is_unlisted && !known.heard_within(now, LIST_LAG_MS)
     }
 
-    /// Takes in a heartbeat that its sender sent directly.
-    pub fn hear(&self, heartbeat: &Heartbeat) {
-        self.hear_member(&heartbeat.sender, true);
-        for member in &heartbeat.members {
-            self.hear_member(member, false);
-        }
-    }
-
-    fn hear_member(&self, member: &Member, is_direct: bool) {
-        if member.instance == self.own.borrow().instance {
-            return;
-        }
-        let now = self.clock.now();
-        let mut all = self.known.borrow_mut();
-        let Some(known) = all.get_mut(&member.instance) else {
-            let heard_at = Some(now);
-            all.insert(member.instance.clone(), Known::heard(member, heard_at));
-            return;
-        };
-        if known.member.incarnation == member.incarnation {
-            if member.heartbeat_counter > known.member.heartbeat_counter {
-                known.member = member.clone();
-                known.heard_at = Some(now);
-            }
-        } else if is_direct || !known.heard_within(now, SUSPECT_AFTER_MS) {
-            *known = Known::heard(member, Some(now));
-        }
-    }
-
     /// Takes in the platform's list, which may lag.
     pub fn read_list(&self, listed: &[ListedInstance]) {
         let now = self.clock.now();
@@ -213,49 +179,4 @@
         members.retain(|member| chosen.contains(&member.instance));
         members
     }
-
-    /// The next members to tell a peer about, in turn. Small fleets hear most members directly;
-    /// with a tenth of the members in each of some sixteen messages a second, larger ones hear of
-    /// each member more than once a second.
-    pub fn gossip(&self, limit: usize) -> Vec<Member> {
-        let now = self.clock.now();
-        let all = self.known.borrow();
-        let fresh: Vec<&Known> =
-            all.values().filter(|known| known.heard_within(now, SUSPECT_AFTER_MS)).collect();
-        let limit = limit.min(fresh.len() / GOSSIP_DIVISOR + MIN_GOSSIP);
-        let mut cursor = self.gossip_cursor.borrow_mut();
-        let start = *cursor;
-        *cursor = start.wrapping_add(limit);
-        (0..fresh.len().min(limit))
-            .map(|i| fresh[(start.wrapping_add(i)) % fresh.len()].member.clone())
-            .collect()
-    }
-}
-
-impl Known {
-    fn heard(member: &Member, heard_at: Option<Instant>) -> Known {
-        Known { member: member.clone(), heard_at, was_listed: false, unlisted_since: None }
-    }
-
-    fn listed(entry: &ListedInstance) -> Known {
-        Known { member: from_list(entry), heard_at: None, was_listed: true, unlisted_since: None }
-    }
-
-    fn heard_within(&self, now: Instant, limit_ms: u64) -> bool {
-        self.heard_at.is_some_and(|heard| now.ms_since(heard) < limit_ms)
-    }
-}
-
-fn from_list(entry: &ListedInstance) -> Member {
-    Member {
-        instance: entry.instance.clone(),
-        incarnation: entry.incarnation,
-        peer_address: entry.peer_address.clone(),
-        http_address: entry.http_address.clone(),
-        zone: entry.zone.clone(),
-        region: entry.region.clone(),
-        is_leaving: entry.state == ListedState::Leaving,
-        heartbeat_counter: 0,
-        load_permille: 0,
-    }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,8 +3,12 @@
 mod connection;
 mod counted_stream;
 mod decode;
+mod digest;
+mod dissemination;
 mod encode;
 mod heartbeat;
+mod known;
+mod link_task;
 mod member;
 mod membership;
 mod peer_client;
@@ -15,6 +19,7 @@
 mod request_claim;
 
 pub use connection::{Connection, accept_peers};
+pub use digest::{Digest, NamedMember};
 pub use heartbeat::Heartbeat;
 pub use member::Member;
 pub use membership::Membership;
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -1,8 +1,10 @@
 use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use metrics::counter;
 use smol_str::ToSmolStr;
+use tokio::sync::Notify;
 
 use crate::budget::{DrawAnswer, DrawRequest};
 use crate::config::Change;
@@ -25,18 +27,46 @@
 #[derive(Clone)]
 pub struct PeerClient {
     client: peer::Client,
+    /// Told of each call that timed out.
+    timed_out: Rc<Notify>,
 }
 
 impl PeerClient {
     pub fn new(client: peer::Client) -> PeerClient {
-        PeerClient { client }
+        PeerClient { client, timed_out: Rc::default() }
+    }
+
+    /// Completes when a call has timed out, so that the connection may be silent.
+    pub async fn timed_out(&self) {
+        self.timed_out.notified().await;
+    }
+
+    async fn limited<T>(
+        &self,
+        limit: Duration,
+        call: impl Future<Output = Result<T, capnp::Error>>,
+    ) -> Result<T, PeerError> {
+        match tokio::time::timeout(limit, call).await {
+            Ok(answer) => Ok(answer?),
+            Err(_) => {
+                self.timed_out.notify_one();
+                Err(PeerError::Timeout)
+            }
+        }
+    }
+
+    /// Notices a silent connection.
+    pub async fn ping(&self) -> Result<(), PeerError> {
+        count("ping");
+        self.limited(CALL_TIMEOUT, self.client.ping_request().send().promise).await?;
+        Ok(())
     }
 
     pub async fn heartbeat(&self, heartbeat: &Heartbeat) -> Result<Heartbeat, PeerError> {
         count("heartbeat");
         let mut request = self.client.heartbeat_request();
         encode::heartbeat(request.get().init_heartbeat(), heartbeat);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         decode::heartbeat(response.get()?.get_heartbeat()?)
     }
 
@@ -44,7 +74,7 @@
         count("holders");
         let mut request = self.client.holders_request();
         encode::shards(request.get().init_shards(shards.len() as u32), shards);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         decode::holdings(response.get()?.get_holdings()?)
     }
 
@@ -52,7 +82,7 @@
         count("extend_lease");
         let mut request = self.client.extend_lease_request();
         encode::lease_claim(request.get().init_claim(), claim);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(response.get()?.get_granted())
     }
 
@@ -60,7 +90,7 @@
         count("consent_takeover");
         let mut request = self.client.consent_takeover_request();
         encode::lease_claim(request.get().init_claim(), claim);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(response.get()?.get_granted())
     }
 
@@ -69,7 +99,7 @@
         let mut request = self.client.hand_over_request();
         request.get().set_shard(shard.to_smolstr().as_str());
         request.get().set_state(state);
-        let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(TRANSFER_TIMEOUT, request.send().promise).await?;
         Ok(response.get()?.get_accepted())
     }
 
@@ -77,7 +107,7 @@
         count("draw");
         let mut request = self.client.draw_request();
         encode::draw_request(request.get().init_request(), draw);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         decode::draw_answer(response.get()?.get_answer()?)
     }
 
@@ -93,7 +123,7 @@
         params.set_organisation(organisation.as_str());
         params.set_request(id.as_str());
         params.set_attempt(attempt.to_smolstr().as_str());
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         decode::request_claim(response.get()?.get_answer()?)
     }
 
@@ -111,7 +141,7 @@
         params.set_request(id.as_str());
         params.set_attempt(attempt.to_smolstr().as_str());
         params.set_completed(completed);
-        limited(CALL_TIMEOUT, request.send().promise).await?;
+        self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(())
     }
 
@@ -120,7 +150,7 @@
         let limit = Duration::from_millis(admission.queue_ms) + ADMIT_MARGIN;
         let mut request = self.client.admit_request();
         encode::admission(request.get().init_admission(), admission);
-        let response = limited(limit, request.send().promise).await?;
+        let response = self.limited(limit, request.send().promise).await?;
         decode::admit_answer(response.get()?.get_answer()?)
     }
 
@@ -135,7 +165,7 @@
         request.get().set_shard(shard.to_smolstr().as_str());
         request.get().set_fingerprint(fingerprint.0);
         encode::finished_attempt(request.get().init_finished(), finished);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(response.get()?.get_crashes())
     }
 
@@ -153,7 +183,7 @@
         params.set_incarnation(incarnation.0);
         params.set_shard(shard.to_smolstr().as_str());
         encode::progress_list(params.init_attempts(attempts.len() as u32), attempts);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(response.get()?.get_holder())
     }
 
@@ -161,7 +191,7 @@
         count("push_change");
         let mut request = self.client.push_change_request();
         encode::change(request.get().init_change(), change);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(Version(response.get()?.get_version()))
     }
 
@@ -172,7 +202,7 @@
         count("changes_since");
         let mut request = self.client.changes_since_request();
         request.get().set_version(version.0);
-        let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(TRANSFER_TIMEOUT, request.send().promise).await?;
         let response = response.get()?;
         let changes: Result<_, PeerError> =
             response.get_changes()?.iter().map(decode::change).collect();
@@ -182,7 +212,7 @@
     pub async fn snapshot(&self) -> Result<(Version, String), PeerError> {
         count("snapshot");
         let request = self.client.snapshot_request();
-        let response = limited(TRANSFER_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(TRANSFER_TIMEOUT, request.send().promise).await?;
         let response = response.get()?;
         Ok((Version(response.get_version()), response.get_text()?.to_str()?.into()))
     }
@@ -196,7 +226,7 @@
         let mut request = self.client.note_version_request();
         request.get().set_version(version.0);
         request.get().set_witness_incarnation(witness.0);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         Ok(response.get()?.get_noted())
     }
 
@@ -204,7 +234,7 @@
         count("noted_version");
         let mut request = self.client.noted_version_request();
         request.get().set_witness_incarnation(witness.0);
-        let response = limited(CALL_TIMEOUT, request.send().promise).await?;
+        let response = self.limited(CALL_TIMEOUT, request.send().promise).await?;
         let response = response.get()?;
         Ok(response.get_valid().then(|| Version(response.get_version())))
     }
@@ -214,13 +244,3 @@
 fn count(method: &'static str) {
     counter!("almondroad_peer_calls_total", "method" => method).increment(1);
 }
-
-async fn limited<T>(
-    limit: Duration,
-    call: impl Future<Output = Result<T, capnp::Error>>,
-) -> Result<T, PeerError> {
-    match tokio::time::timeout(limit, call).await {
-        Ok(answer) => Ok(answer?),
-        Err(_) => Err(PeerError::Timeout),
-    }
-}
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -29,6 +29,10 @@
         Ok(())
     }
 
+    async fn ping(self: Rc<Self>, _: peer::PingParams, _: peer::PingResults) -> Answered {
+        Ok(())
+    }
+
     async fn holders(
         self: Rc<Self>,
         params: peer::HoldersParams,
--- a/src/peer/peers.rs
+++ b/src/peer/peers.rs
@@ -6,14 +6,12 @@
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Instant};
-use crate::peer::connection::Connection;
+use crate::peer::link_task::LinkTask;
 use crate::peer::{Heartbeat, Member, Membership, PeerClient, PeerError};
 use crate::units::{Incarnation, InstanceId};
 
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1000);
-const RECONNECT_DELAY: Duration = Duration::from_millis(200);
-/// Unanswered heartbeats after which a connection counts as silent and is replaced.
-const MAX_MISSED_HEARTBEATS: u32 = 2;
+/// Longest wait of a call for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// How often the choice of neighbours is made again.
 const NEIGHBOUR_PERIOD: Duration = Duration::from_secs(5);
 const NEIGHBOUR_STARTUP_PERIOD: Duration = Duration::from_millis(200);
@@ -24,7 +22,8 @@
 
 /// What a connection's task needs from the instance for its heartbeats.
 pub trait HeartbeatSource: 'static {
-    fn next_heartbeat(&self) -> Heartbeat;
+    /// The first heartbeat on a connection names this instance in full.
+    fn next_heartbeat(&self, is_first: bool) -> Heartbeat;
 
     /// Takes in a peer's answer to a heartbeat that was sent at `sent_at`.
     fn hear(&self, answer: &Heartbeat, sent_at: Instant);
@@ -41,6 +40,7 @@
 struct Link {
     incarnation: Incarnation,
     client: watch::Receiver<Option<PeerClient>>,
+    is_neighbour: watch::Sender<bool>,
     /// When a call last asked for the link.
     used_at: Cell<Option<Instant>>,
     _stop: watch::Sender<()>,
@@ -70,7 +70,7 @@
         let mut client = self.link(&member, source);
         self.note_use(instance);
         let ready = client.wait_for(Option::is_some);
-        match tokio::time::timeout(HEARTBEAT_PERIOD, ready).await {
+        match tokio::time::timeout(CONNECT_TIMEOUT, ready).await {
             Ok(Ok(client)) => client.clone().ok_or(PeerError::NotConnected),
             _ => Err(PeerError::NotConnected),
         }
@@ -90,6 +90,7 @@
             for member in &neighbours {
                 drop(self.link(member, &source));
             }
+            self.mark_neighbours(&neighbours);
             self.drop_links_except(&neighbours);
             round += 1;
             let period =
@@ -111,7 +112,9 @@
         }
         let (client_sender, client) = watch::channel(None);
         let (stop, stopped) = watch::channel(());
+        let (is_neighbour, neighbour) = watch::channel(false);
         let task = LinkTask {
+            is_neighbour: neighbour,
             clock: self.clock.clone(),
             address: member.peer_address.to_string(),
             source: Rc::clone(source),
@@ -121,6 +124,7 @@
         let link = Link {
             incarnation: member.incarnation,
             client: client.clone(),
+            is_neighbour,
             used_at: Cell::default(),
             _stop: stop,
         };
@@ -128,6 +132,14 @@
         client
     }
 
+    fn mark_neighbours(&self, neighbours: &[Member]) {
+        for (instance, link) in self.links.borrow().iter() {
+            let is_neighbour = neighbours.iter().any(|member| member.instance == *instance);
+            link.is_neighbour
+                .send_if_modified(|known| std::mem::replace(known, is_neighbour) != is_neighbour);
+        }
+    }
+
     /// Keeps links that calls were made over lately, too: reopening one costs a round trip of a
     /// request.
     fn drop_links_except(&self, neighbours: &[Member]) {
@@ -139,55 +151,3 @@
         });
     }
 }
-
-struct LinkTask<C, S> {
-    clock: C,
-    address: String,
-    source: Rc<S>,
-    client: watch::Sender<Option<PeerClient>>,
-}
-
-impl<C: Clock, S: HeartbeatSource> LinkTask<C, S> {
-    /// Holds the connection open until the link is dropped.
-    async fn run(self, mut stopped: watch::Receiver<()>) {
-        tokio::select! {
-            _ = stopped.changed() => {}
-            () = self.keep_connected() => {}
-        }
-    }
-
-    async fn keep_connected(&self) {
-        loop {
-            match Connection::open(&self.address).await {
-                Ok(connection) => {
-                    self.client.send_replace(Some(connection.client.clone()));
-                    self.exchange_heartbeats(&connection).await;
-                    self.client.send_replace(None);
-                }
-                Err(error) => {
-                    log::debug!(target: "peer", "cannot connect to {}: {error}", self.address);
-                }
-            }
-            tokio::time::sleep(RECONNECT_DELAY).await;
-        }
-    }
-
-    /// Returns when the connection has closed or gone silent.
-    async fn exchange_heartbeats(&self, connection: &Connection) {
-        let mut missed = 0;
-        while missed < MAX_MISSED_HEARTBEATS && !connection.is_closed() {
-            let sent_at = self.clock.now();
-            match connection.client.heartbeat(&self.source.next_heartbeat()).await {
-                Ok(answer) => {
-                    missed = 0;
-                    self.source.hear(&answer, sent_at);
-                    tokio::time::sleep(HEARTBEAT_PERIOD).await;
-                }
-                Err(error) => {
-                    missed += 1;
-                    log::debug!(target: "peer", "heartbeat to {} failed: {error}", self.address);
-                }
-            }
-        }
-    }
-}
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -1149,11 +1149,67 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_first_group(self) -> u8 {
+            self.reader.get_data_field::<u8>(0)
+        }
+        #[inline]
+        pub fn get_group_hashes(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_group_hashes(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_group_sizes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_group_sizes(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_counters(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_counters(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_named_keys(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_named_keys(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
+        #[inline]
+        pub fn get_named_states(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_named_states(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
+        #[inline]
+        pub fn get_wanted(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_wanted(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
+        }
+        #[inline]
+        pub fn get_wants_all(self) -> bool {
+            self.reader.get_bool_field(8)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 11 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1283,6 +1339,118 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_first_group(self) -> u8 {
+            self.builder.get_data_field::<u8>(0)
+        }
+        #[inline]
+        pub fn set_first_group(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(0, value);
+        }
+        #[inline]
+        pub fn get_group_hashes(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_group_hashes(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_group_hashes(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_group_hashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_group_sizes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_group_sizes(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(6).set_data(value);
+        }
+        #[inline]
+        pub fn init_group_sizes(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(6).init_data(size)
+        }
+        #[inline]
+        pub fn has_group_sizes(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_counters(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_counters(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(7).set_data(value);
+        }
+        #[inline]
+        pub fn init_counters(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(7).init_data(size)
+        }
+        #[inline]
+        pub fn has_counters(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_named_keys(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_named_keys(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_named_keys(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_named_keys(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
+        #[inline]
+        pub fn get_named_states(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_named_states(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(9).set_data(value);
+        }
+        #[inline]
+        pub fn init_named_states(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(9).init_data(size)
+        }
+        #[inline]
+        pub fn has_named_states(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
+        #[inline]
+        pub fn get_wanted(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(10), value, false)
+        }
+        #[inline]
+        pub fn init_wanted(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(10), size)
+        }
+        #[inline]
+        pub fn has_wanted(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
+        }
+        #[inline]
+        pub fn get_wants_all(self) -> bool {
+            self.builder.get_bool_field(8)
+        }
+        #[inline]
+        pub fn set_wants_all(&mut self, value: bool)  {
+            self.builder.set_bool_field(8, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1300,59 +1468,115 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 246] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(244, 34, 123, 135, 98, 202, 212, 148),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(23, 73, 226, 213, 160, 198, 241, 179),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(27, 211, 63, 170, 176, 115, 103, 193),
@@ -1408,6 +1632,89 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 114, 115, 116, 71, 114, 111),
+            ::capnp::word(117, 112, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 111, 117, 112, 72, 97, 115),
+            ::capnp::word(104, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 111, 117, 112, 83, 105, 122),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 101, 114, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 97, 109, 101, 100, 75, 101, 121),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 97, 109, 101, 100, 83, 116, 97),
+            ::capnp::word(116, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 65, 108, 108),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1416,6 +1723,14 @@
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::holding::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::peer_capnp::confirmation::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1429,9 +1744,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,8,5,6,7,2,1,9,10,0,4,11,12];
         pub(crate) const TYPE_ID: u64 = 0x94d4_ca62_877b_22f4;
     }
 }
@@ -6679,6 +6994,8 @@
     pub type NoteVersionResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::note_version_results::Owned>;
     pub type NotedVersionParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::noted_version_params::Owned>;
     pub type NotedVersionResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::noted_version_results::Owned>;
+    pub type PingParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::ping_params::Owned>;
+    pub type PingResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::ping_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -6776,6 +7093,9 @@
         pub fn noted_version_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::noted_version_params::Owned,crate::peer_capnp::peer::noted_version_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 15, ::core::option::Option::None)
         }
+        pub fn ping_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::ping_params::Owned,crate::peer_capnp::peer::ping_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 16, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn heartbeat(self: ::capnp::capability::Rc<Self>, _: HeartbeatParams<>, _: HeartbeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::heartbeat not implemented".to_string()))) }
@@ -6794,6 +7114,7 @@
         fn snapshot(self: ::capnp::capability::Rc<Self>, _: SnapshotParams<>, _: SnapshotResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::snapshot not implemented".to_string()))) }
         fn note_version(self: ::capnp::capability::Rc<Self>, _: NoteVersionParams<>, _: NoteVersionResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::note_version not implemented".to_string()))) }
         fn noted_version(self: ::capnp::capability::Rc<Self>, _: NotedVersionParams<>, _: NotedVersionResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::noted_version not implemented".to_string()))) }
+        fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::ping not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -6839,6 +7160,7 @@
                 13 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::snapshot(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 14 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::note_version(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 15 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::noted_version(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                16 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -13858,4 +14180,332 @@
             pub(crate) const TYPE_ID: u64 = 0xb77f_d8e6_2501_a118;
         }
     }
+
+    pub mod ping_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(214, 187, 91, 100, 66, 128, 139, 228),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 105, 110, 103, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe48b_8042_645b_bbd6;
+        }
+    }
+
+    pub mod ping_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(178, 251, 253, 198, 74, 106, 23, 189),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 105, 110, 103, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xbd17_6a4a_c6fd_fbb2;
+        }
+    }
 }
--- a/src/serve/spread.rs
+++ b/src/serve/spread.rs
@@ -17,7 +17,7 @@
     let clients = peers.iter().filter_map(|member| node.peers.client(&member.instance));
     let sends = clients.map(|client| async move {
         let sent_at = node.clock.now();
-        if let Ok(answer) = client.heartbeat(&node.next_heartbeat()).await {
+        if let Ok(answer) = client.heartbeat(&node.next_heartbeat(false)).await {
             node.hear(&answer, sent_at);
         }
     });
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,75 @@
+//! Liveness that is learnt from digests, in a fleet of the size of two years.
+
+mod support {
+    pub mod membership_sim;
+}
+
+use almondroad::units::Incarnation;
+use support::membership_sim::Fleet;
+
+const SIZE: usize = 370;
+const FIRST_RUN: Incarnation = Incarnation(1);
+/// Seconds after which a silent member is dead.
+const DEAD_AFTER_S: usize = 5;
+/// Seconds within which news reaches all.
+const SPREAD_S: usize = 3;
+
+async fn started() -> Fleet {
+    let mut fleet = Fleet::listed(SIZE);
+    for _ in 0..SPREAD_S {
+        fleet.run_second().await;
+    }
+    fleet
+}
+
+/// Guards against a digest that reaches an instance too seldom: live members would count as dead.
+#[tokio::test(start_paused = true)]
+async fn live_members_stay_live_everywhere() {
+    let mut fleet = started().await;
+    for second in 0..20 {
+        fleet.run_second().await;
+        let seen: usize = (0..SIZE).map(|number| fleet.sees(number, FIRST_RUN)).sum();
+        assert_eq!(seen, SIZE * (SIZE - 1), "in second {second}");
+    }
+}
+
+/// Guards against proofs of life that circulate after their member has died, and against dead
+/// members that make the others' digests unreadable.
+#[tokio::test(start_paused = true)]
+async fn dead_members_are_noticed_everywhere() {
+    let mut fleet = started().await;
+    let dead: Vec<usize> = (0..SIZE).step_by(16).collect();
+    dead.iter().for_each(|number| fleet.kill(*number));
+    for second in 1..=20 {
+        fleet.run_second().await;
+        let seen: usize = dead.iter().map(|number| fleet.sees(*number, FIRST_RUN)).sum();
+        if second >= DEAD_AFTER_S + SPREAD_S {
+            assert_eq!(seen, 0, "in second {second}");
+        }
+        let live = SIZE - dead.len();
+        let alive = (0..SIZE).filter(|number| !dead.contains(number));
+        let seen: usize = alive.map(|number| fleet.sees(number, FIRST_RUN)).sum();
+        assert_eq!(seen, live * (live - 1), "in second {second}");
+    }
+}
+
+/// Guards against a new run that is taken for the former one, or that others hear of late.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_instance_is_known_as_its_new_run() {
+    let mut fleet = started().await;
+    let second_run = Incarnation(2);
+    fleet.kill(7);
+    for _ in 0..DEAD_AFTER_S {
+        fleet.run_second().await;
+    }
+    fleet.start(7, second_run, 300);
+    for second in 1..=10 {
+        fleet.run_second().await;
+        if second >= SPREAD_S {
+            assert_eq!(fleet.sees(7, second_run), SIZE - 1, "in second {second}");
+            assert_eq!(fleet.sees(7, FIRST_RUN), 0, "in second {second}");
+        }
+    }
+    let view = fleet.views[7].as_ref().unwrap();
+    assert_eq!(view.live_peers().len(), SIZE - 1);
+}
