--- a/src/suspect/suspects.rs
+++ b/src/suspect/suspects.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 
 use crate::clock::{Clock, Instant};
@@ -10,6 +10,8 @@
 pub struct Suspects<C> {
     clock: C,
     entries: RefCell<HashMap<Fingerprint, Entry>>,
+    /// The last suspicion that was sent in turn.
+    cursor: Cell<Fingerprint>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -17,6 +19,7 @@
     crashes: u32,
     output_tokens: Tokens,
     until: Instant,
+    learned_at: Instant,
 }
 
 impl<C: Clock> Suspects<C> {
@@ -31,14 +34,19 @@
     /// circulate between instances would never expire.
     const LEAST_EXTENSION_MS: u64 = 10_000;
     const MAX_ENTRIES: usize = 10_000;
+    /// Peers are told of a suspicion in each message for this long, then in turn. A time rather
+    /// than a number of messages: a crash is told to all connected peers at once.
+    const NEWS_MS: u64 = 4_000;
+    /// Suspicions in each message that are no news, for instances that missed them.
+    const ROTATING: usize = 1;
 
     pub fn new(clock: C) -> Suspects<C> {
-        Suspects { clock, entries: RefCell::default() }
+        Suspects { clock, entries: RefCell::default(), cursor: Cell::new(Fingerprint(0)) }
     }
 
     /// Number of endpoints that died under the request.
     pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
-        self.live(fingerprint).map_or(0, |entry| entry.crashes)
+        self.find(fingerprint).map_or(0, |entry| entry.crashes)
     }
 
     /// Whether no request is a suspect.
@@ -50,11 +58,11 @@
     /// Output from which on a request that begins at `first_index` has shown that it does not crash
     /// its decode endpoint. A suspect has to get past the output at which an endpoint died.
     pub fn proof_tokens(&self, fingerprint: Fingerprint, first_index: Tokens) -> Tokens {
-        let died_at = self.live(fingerprint).map_or(Tokens(0), |entry| entry.output_tokens);
+        let died_at = self.find(fingerprint).map_or(Tokens(0), |entry| entry.output_tokens);
         died_at.max(first_index) + Self::PROOF_TOKENS
     }
 
-    fn live(&self, fingerprint: Fingerprint) -> Option<Entry> {
+    fn find(&self, fingerprint: Fingerprint) -> Option<Entry> {
         let now = self.clock.now();
         self.entries.borrow().get(&fingerprint).copied().filter(|entry| entry.until > now)
     }
@@ -66,7 +74,8 @@
     /// Notes the requests that ran on an endpoint when it died. A suspect that was the only one
     /// without proof is held responsible. Otherwise all of them are suspects.
     pub fn note_crash(&self, ran: &[RanRequest]) {
-        let until = self.clock.now().plus_ms(Self::LIFETIME_MS);
+        let learned_at = self.clock.now();
+        let until = learned_at.plus_ms(Self::LIFETIME_MS);
         let mut unproven = ran.iter().filter(|request| !request.is_proven);
         let blamed = match (unproven.next(), unproven.next()) {
             (Some(only), None) if only.is_suspect => Some(only),
@@ -77,15 +86,16 @@
             let known = self.crashes(request.fingerprint).max(1);
             let crashes = known + u32::from(blamed.is_some());
             let output_tokens = request.output_tokens;
-            self.insert(request.fingerprint, Entry { crashes, output_tokens, until });
+            self.insert(request.fingerprint, Entry { crashes, output_tokens, until, learned_at });
         }
     }
 
     /// Notes how much output a suspect had when an endpoint died under it. The pool's owner knows
     /// only the last report.
     pub fn note_output(&self, fingerprint: Fingerprint, output_tokens: Tokens) {
-        if let Some(entry) = self.live(fingerprint) {
-            self.insert(fingerprint, Entry { output_tokens, ..entry });
+        if let Some(entry) = self.find(fingerprint) {
+            let learned_at = self.clock.now();
+            self.insert(fingerprint, Entry { output_tokens, learned_at, ..entry });
         }
     }
 
@@ -93,8 +103,9 @@
     pub fn learn(&self, suspicion: Suspicion) {
         let Suspicion { fingerprint, crashes, output_tokens, .. } = suspicion;
         let remaining_ms = suspicion.remaining_ms.min(Self::LIFETIME_MS);
-        let learned_until = self.clock.now().plus_ms(remaining_ms);
-        let known = self.live(fingerprint).unwrap_or_default();
+        let learned_at = self.clock.now();
+        let learned_until = learned_at.plus_ms(remaining_ms);
+        let known = self.find(fingerprint).unwrap_or_default();
         let extends = learned_until > known.until.plus_ms(Self::LEAST_EXTENSION_MS);
         let is_longer = crashes > known.crashes || (crashes == known.crashes && extends);
         let has_more_output = crashes == known.crashes && output_tokens > known.output_tokens;
@@ -102,28 +113,49 @@
             return;
         }
         let until = if is_longer { learned_until.max(known.until) } else { known.until };
-        self.insert(fingerprint, Entry { crashes, output_tokens, until });
+        self.insert(fingerprint, Entry { crashes, output_tokens, until, learned_at });
     }
 
-    /// At most `max` suspicions, those that end last first.
+    /// At most `max` suspicions: those that are new here, and some others in turn.
     pub fn recent(&self, max: usize) -> Vec<Suspicion> {
         let now = self.clock.now();
+        let (news, others): (Vec<_>, Vec<_>) = self
+            .live(now)
+            .into_iter()
+            .partition(|(_, entry)| now.ms_since(entry.learned_at) < Self::NEWS_MS);
+        let places = Self::ROTATING.min(others.len()).min(max);
+        let mut sent: Vec<_> = news.into_iter().take(max - places).collect();
+        for _ in 0..places {
+            let after = others.iter().filter(|(fingerprint, _)| *fingerprint > self.cursor.get());
+            let next = after.min_by_key(|(fingerprint, _)| *fingerprint);
+            let next = next.or_else(|| others.iter().min_by_key(|(fingerprint, _)| *fingerprint));
+            if let Some(entry) = next {
+                self.cursor.set(entry.0);
+                sent.push(*entry);
+            }
+        }
+        sent.into_iter().map(|entry| suspicion(entry, now)).collect()
+    }
+
+    /// At most `max` suspicions, those that end last first.
+    pub fn newest(&self, max: usize) -> Vec<Suspicion> {
+        let now = self.clock.now();
+        self.live(now).into_iter().take(max).map(|entry| suspicion(entry, now)).collect()
+    }
+
+    /// Suspicions that have not ended, those that end last first.
+    fn live(&self, now: Instant) -> Vec<(Fingerprint, Entry)> {
         let entries = self.entries.borrow();
-        let mut live: Vec<_> = entries.iter().filter(|(_, entry)| entry.until > now).collect();
-        live.sort_by_key(|(fingerprint, entry)| (std::cmp::Reverse(entry.until), **fingerprint));
-        let suspicion = |(fingerprint, entry): (&Fingerprint, &Entry)| Suspicion {
-            fingerprint: *fingerprint,
-            crashes: entry.crashes,
-            output_tokens: entry.output_tokens,
-            remaining_ms: entry.until.ms_since(now),
-        };
-        live.into_iter().take(max).map(suspicion).collect()
+        let live = entries.iter().filter(|(_, entry)| entry.until > now);
+        let mut live: Vec<(Fingerprint, Entry)> = live.map(|(f, entry)| (*f, *entry)).collect();
+        live.sort_by_key(|(fingerprint, entry)| (std::cmp::Reverse(entry.until), *fingerprint));
+        live
     }
 
     /// Keeps the most output of a live entry.
     fn insert(&self, fingerprint: Fingerprint, entry: Entry) {
         let now = self.clock.now();
-        let known = self.live(fingerprint).map_or(Tokens(0), |known| known.output_tokens);
+        let known = self.find(fingerprint).map_or(Tokens(0), |known| known.output_tokens);
         let entry = Entry { output_tokens: entry.output_tokens.max(known), ..entry };
         let mut entries = self.entries.borrow_mut();
         if entries.len() >= Self::MAX_ENTRIES && !entries.contains_key(&fingerprint) {
@@ -138,3 +170,8 @@
         entries.insert(fingerprint, entry);
     }
 }
+
+fn suspicion((fingerprint, entry): (Fingerprint, Entry), now: Instant) -> Suspicion {
+    let Entry { crashes, output_tokens, until, .. } = entry;
+    Suspicion { fingerprint, crashes, output_tokens, remaining_ms: until.ms_since(now) }
+}
