Count repeats of neighbours as runs in the poison check

Cause: the check of true refusals takes a prompt whose requests were all refused as not run, and that an engine saw, for a false refusal.

Change: the records of the repeats are part of the check.

--- a/src/bench/experiments/poison.rs
+++ b/src/bench/experiments/poison.rs
@@ -70,7 +70,9 @@
     let (lost_prefill, lost_decode) = lost.get();
     report_poison("decode", &decode, lost_decode, report);
     report_poison("prefill", &prefill, lost_prefill, report);
-    report_neighbours(&caller, &book, &records, report).await;
+    // Engines see the prompt of a neighbour that was refused when it is sent again.
+    let again = report_neighbours(&caller, &book, &records, report).await;
+    records.extend(again);
     records.extend(decode);
     records.extend(prefill);
     check_invariants(&fleet, &records, report).await
@@ -147,13 +149,14 @@
     report.bounded(&metric, without_code as f64, "requests", Bound::AtMost(0.0));
 }
 
-/// Requests that ran alongside are answered whole, and again when they are sent again.
+/// Requests that ran alongside are answered whole, and again when they are sent again. Returns the
+/// records of the repeats.
 async fn report_neighbours(
     caller: &Caller,
     book: &AddressBook,
     records: &[CallRecord],
     report: &mut Report,
-) {
+) -> Vec<CallRecord> {
     for record in records.iter().filter(|record| !record.is_complete()).take(5) {
         report.progress(&format!("neighbour at {} ms: {:?}", record.sent_at_ms, record.ending));
     }
@@ -176,4 +179,5 @@
     }
     let blamed = again.iter().filter(|record| is_blamed(record)).count();
     report.bounded("neighbours refused afterwards", blamed as f64, "requests", none);
+    again
 }
