--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -181,7 +181,7 @@
         let owner = Owner::start(&document(SMALL, &[]), &Engines::default()).await;
         let neighbour = admission("g", 1, "o");
         let plan = owner.run(neighbour.clone()).await;
-        let reporter = Admission { is_suspect: true, ..admission("g", 2, "o") };
+        let reporter = admission("g", 2, "o");
         owner.run(reporter.clone()).await;
         let refused = finished(&reporter.attempt, AttemptEnd::EndpointDied, Some(&plan.decode));
         let refused = FinishedAttempt { is_unreached: true, ..refused };
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -68,7 +68,7 @@
 #[test]
 fn an_unknown_or_missing_setting_is_named() {
     insta::assert_snapshot!(settings_with("unit", "// Used", "\"request_timeout_s\": 60, // Used"), @"
-    almondroad-gateway: DIR/settings-unit.jsonc: line 9, column 3: request_timeout_s: unknown field `request_timeout_s`, expected one of `instance`, `region`, `zone`, `http_listen`, `peer_listen`, `tls`, `platform_address`, `first_document_file`, `max_body_bytes`, `request_timeout_ms`, `interactive_queue_ms`, `waiting_queue_ms`, `addresses_ttl_ms`, `max_requests`, `log`
+    almondroad-gateway: DIR/settings-unit.jsonc: line 9, column 3: request_timeout_s: unknown field `request_timeout_s`, expected one of `instance`, `region`, `zone`, `http_listen`, `peer_listen`, `peer_advertise`, `tls`, `platform_address`, `first_document_file`, `max_body_bytes`, `request_timeout_ms`, `interactive_queue_ms`, `waiting_queue_ms`, `addresses_ttl_ms`, `max_requests`, `log`
     exit 2
     ");
     insta::assert_snapshot!(settings_with("missing", "\"zone\": \"khomas-a\",", ""), @"
