Answer an edit that lost during its read with a conflict

Cause: an edit reads the head row and compares it with the version in force after the read. When a racing edit was pushed to the instance during the read, the row was older than the version in force, and the losing editor was told that the store is behind (503) instead of that it lost (409).

Change: the row counts as behind only if it is older than a version that was in force before the read began; otherwise it is read again.

Ruled out: a stale read of the stand-in, which serves stale rows only when a fault is set.

--- a/src/config/edit.rs
+++ b/src/config/edit.rs
@@ -110,18 +110,24 @@
     /// Reads the head row and brings its version into force, so that an edit is checked against
     /// the newest document and teams.
     pub(super) async fn newest_head(&self) -> Result<(Head, u64), ConfigError> {
-        let (head, revision) = self.read_head().await?.ok_or(ConfigError::NoDocument)?;
-        if self.current().version < head.version {
-            self.catch_up().await;
-        }
-        let in_force = self.current().version;
-        if head.version < in_force {
-            return Err(ConfigError::StoreBehind { in_force });
-        }
-        if head.version > in_force {
-            return Err(ConfigError::Conflict { current: head.version });
+        loop {
+            let known = self.current().version;
+            let (head, revision) = self.read_head().await?.ok_or(ConfigError::NoDocument)?;
+            if self.current().version < head.version {
+                self.catch_up().await;
+            }
+            let in_force = self.current().version;
+            if head.version > in_force {
+                return Err(ConfigError::Conflict { current: head.version });
+            }
+            if head.version == in_force {
+                return Ok((head, revision));
+            }
+            // A version that was pushed during the read does not show that the store is behind.
+            if known == in_force {
+                return Err(ConfigError::StoreBehind { in_force });
+            }
         }
-        Ok((head, revision))
     }
 
     /// A replacement of witnesses must not make an operator's edit fail.
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -96,6 +96,27 @@
     });
 }
 
+/// Guards against a racing edit that is told that the store is behind, because the other edit came
+/// into force during its read of the head row.
+#[test]
+fn an_edit_that_loses_during_its_read_is_a_conflict() {
+    run_paused(async {
+        let net = fleet(2).await;
+        net.stores()[1].faults.read_answer_ms.set(100);
+        let (winner, loser) = (net.config("i0"), net.config("i1"));
+        let edit = rates(3);
+        let lost = loser.edit("traffic", "rates", Version(1), &edit);
+        let won = async {
+            sleep_ms(20).await;
+            winner.edit("traffic", "rates", Version(1), &rates(2)).await
+        };
+        let (won, lost) = tokio::join!(won, lost);
+        assert_eq!(won.unwrap(), Version(2));
+        let is_conflict = matches!(lost, Err(ConfigError::Conflict { current: Version(2) }));
+        assert!(is_conflict, "{lost:?}");
+    });
+}
+
 /// Guards against a key index that does not follow a pushed change: a withdrawn key would work on.
 #[test]
 fn pushed_changes_update_the_keys() {
--- a/tests/config/fakes.rs
+++ b/tests/config/fakes.rs
@@ -43,6 +43,8 @@
     pub next_commit: Cell<CommitFault>,
     /// Reads return the rows as they were this many commits ago.
     pub stale_by: Cell<usize>,
+    /// Time from a read to its answer.
+    pub read_answer_ms: Cell<u64>,
     pub objects_missing: Cell<bool>,
     pub down: Cell<bool>,
     /// Calls never return.
@@ -106,10 +108,14 @@
 impl Table for FakeStore {
     async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
         self.reach().await?;
-        let shared = self.shared.borrow();
-        let stale = shared.history.len().checked_sub(1 + self.faults.stale_by.get());
-        let rows = stale.map_or(&shared.rows, |index| &shared.history[index]);
-        Ok(keys.iter().map(|key| rows.get(key).cloned()).collect())
+        let rows = {
+            let shared = self.shared.borrow();
+            let stale = shared.history.len().checked_sub(1 + self.faults.stale_by.get());
+            let rows = stale.map_or(&shared.rows, |index| &shared.history[index]);
+            keys.iter().map(|key| rows.get(key).cloned()).collect()
+        };
+        tokio::time::sleep(Duration::from_millis(self.faults.read_answer_ms.get())).await;
+        Ok(rows)
     }
 
     async fn scan(
