--- a/src/bench/call_record.rs
+++ b/src/bench/call_record.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use smol_str::SmolStr;
 
 use crate::bench::Prompt;
@@ -39,6 +41,13 @@
     Cancelled,
 }
 
+impl fmt::Display for CallRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let CallRecord { organisation, address, sent_at_ms, ended_at_ms, ending, .. } = self;
+        write!(f, "{organisation} at {address}, {sent_at_ms} to {ended_at_ms} ms: {ending:?}")
+    }
+}
+
 impl CallRecord {
     /// A request that has no answer yet.
     pub fn sent(prompt: &Prompt, address: SmolStr, sent_at_ms: u64) -> CallRecord {
@@ -75,6 +84,15 @@
         matches!(self.ending, Ending::Refused { .. })
     }
 
+    pub fn is_refused_with(&self, wanted: &str) -> bool {
+        matches!(&self.ending, Ending::Refused { code, .. } if code == wanted)
+    }
+
+    /// No answer, or one that was cut.
+    pub fn is_broken(&self) -> bool {
+        matches!(self.ending, Ending::NoAnswer | Ending::Cut { .. })
+    }
+
     pub fn is_complete(&self) -> bool {
         self.ending == Ending::Complete
     }
--- a/src/bench/check.rs
+++ b/src/bench/check.rs
@@ -54,7 +54,7 @@
     check_memory(fleet, report).await;
     let mut leaked = 0;
     let mut seen_prompts = BTreeSet::new();
-    for engine in fleet.prefill.iter().chain(&fleet.decode) {
+    for engine in fleet.engines() {
         // A stand-in that an experiment killed has no statistics.
         if let Ok(stats) = fleet.stats::<EngineStats>(engine).await {
             leaked += stats.secrets.with_secret;
@@ -101,7 +101,7 @@
     let deadline = tokio::time::Instant::now() + RELEASE_LIMIT;
     loop {
         let mut held = 0;
-        for engine in fleet.prefill.iter().chain(&fleet.decode) {
+        for engine in fleet.engines() {
             if let Ok(stats) = fleet.stats::<EngineStats>(engine).await {
                 held += stats.used_pieces;
             }
--- a/src/bench/experiments/cancel.rs
+++ b/src/bench/experiments/cancel.rs
@@ -56,7 +56,7 @@
     for record in records.iter().filter(|r| r.ending != Ending::Cancelled).take(5) {
         report.progress(&format!("within rate: {:?}", record.ending));
     }
-    let refused = records.iter().filter(|r| matches!(r.ending, Ending::Refused { .. })).count();
+    let refused = records.iter().filter(|record| record.is_refused()).count();
     report.value(PRODUCT, "requests within rate", records.len() as f64, "requests");
     report.bounded("refused within rate", refused as f64, "requests", Bound::AtMost(0.0));
     Ok(())
--- a/src/bench/experiments/halve.rs
+++ b/src/bench/experiments/halve.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use crate::bench::experiments::measured::{WARM_UP, streams_of};
-use crate::bench::experiments::removal::{Removal, run_removal};
-use crate::bench::{BenchError, CallRecord, FleetBuilder, Options, Report};
+use crate::bench::experiments::removal::{Removal, run_removal, start_fleet};
+use crate::bench::{BenchError, CallRecord, Options, Report};
 
 /// Requests per second and decode endpoint that stays. It leaves the remaining half below nine
 /// tenths of its slots.
@@ -10,12 +10,7 @@
 
 /// Drains half of the endpoints of each role under load and returns them.
 pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
-    // A slice with one prefill endpoint would lose its decode endpoints together with that.
-    let slices = (options.deployment.engines().0 / 2).max(1) as u32;
-    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
-        .slices(slices)
-        .start()
-        .await?;
+    let fleet = start_fleet(options).await?;
     // Endpoints are spread over the slices by their index, so each slice loses half of its own
     // if it has an even number of them.
     let (prefill, decode) = (fleet.prefill.len() / 2, fleet.decode.len() / 2);
--- /dev/null
+++ b/src/bench/experiments/holders.rs
@@ -0,0 +1,47 @@
+//! Which gateway holds which shards.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::bench::Fleet;
+use crate::gateway::budget_shard;
+use crate::units::OrganisationId;
+
+/// Fencing numbers of the shards that an instance holds, as any of the others knows them.
+pub(super) async fn held_by(
+    fleet: &Fleet,
+    askable: &[SmolStr],
+    name: &str,
+) -> BTreeMap<String, u64> {
+    let mut held = BTreeMap::new();
+    for address in askable {
+        let Ok(status) = fleet.status(address).await else { continue };
+        for holder in status["holders"].as_array().into_iter().flatten() {
+            let shard = holder["shard"].as_str().unwrap_or_default().to_owned();
+            let fencing = holder["fencing"].as_u64().unwrap_or_default();
+            if holder["holder"] == name {
+                held.insert(shard, fencing);
+            }
+        }
+    }
+    held
+}
+
+/// Index of the first gateway that holds a wanted shard.
+pub(super) async fn find_holder(fleet: &Fleet, is_wanted: impl Fn(&str) -> bool) -> usize {
+    let addresses = fleet.addresses();
+    for (index, gateway) in fleet.gateways.iter().enumerate() {
+        let held = held_by(fleet, &addresses, gateway.name()).await;
+        if held.keys().any(|shard| is_wanted(shard)) {
+            return index;
+        }
+    }
+    0
+}
+
+/// Index of the gateway that holds an organisation's budget and request ids.
+pub(super) async fn find_budget_holder(fleet: &Fleet, organisation: &str) -> usize {
+    let wanted = budget_shard(&OrganisationId::new(organisation)).to_string();
+    find_holder(fleet, |shard| shard == wanted).await
+}
--- a/src/bench/experiments/kill.rs
+++ b/src/bench/experiments/kill.rs
@@ -6,10 +6,11 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use super::holders::held_by;
 use crate::bench::check::{check_invariants, count_endings, describe_endings};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::resend::{LoadSwitch, send_resending};
-use crate::bench::{AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Report};
+use crate::bench::{AddressBook, BenchError, CallRecord, Caller, Fleet, Options, Report};
 
 /// Takeover from a dead owner, as the acceptance thresholds state it.
 const TAKEOVER_LIMIT_MS: f64 = 5_000.0;
@@ -68,26 +69,6 @@
     Ok(takeovers)
 }
 
-/// Fencing numbers of the shards that an instance holds, as any of the others knows them.
-pub(super) async fn held_by(
-    fleet: &Fleet,
-    askable: &[SmolStr],
-    name: &str,
-) -> BTreeMap<String, u64> {
-    let mut held = BTreeMap::new();
-    for address in askable {
-        let Ok(status) = fleet.status(address).await else { continue };
-        for holder in status["holders"].as_array().into_iter().flatten() {
-            let shard = holder["shard"].as_str().unwrap_or_default().to_owned();
-            let fencing = holder["fencing"].as_u64().unwrap_or_default();
-            if holder["holder"] == name {
-                held.insert(shard, fencing);
-            }
-        }
-    }
-    held
-}
-
 /// Milliseconds until each of the shards had a new holder; infinite for those that got none.
 async fn wait_for_takeover(
     fleet: &Fleet,
@@ -131,11 +112,10 @@
     let answered = requests.iter().filter(|tries| answers(tries) == 1).count();
     // A repeat of a request whose answer was complete, but lost with its connection.
     let is_lost = |tries: &&Vec<CallRecord>| {
-        matches!(tries.last().map(|last| &last.ending),
-            Some(Ending::Refused { code, .. }) if code == "duplicate_request")
+        tries.last().is_some_and(|last| last.is_refused_with("duplicate_request"))
     };
     let lost = requests.iter().filter(is_lost).count();
-    let broken = requests.iter().filter(|tries| tries.iter().any(is_broken)).count();
+    let broken = requests.iter().filter(|tries| tries.iter().any(CallRecord::is_broken)).count();
     for tries in requests.iter().filter(|tries| answers(tries) == 0).take(SHOWN_FAILURES) {
         report.progress(&describe_tries(tries));
     }
@@ -153,25 +133,12 @@
 }
 
 fn describe_tries(tries: &[CallRecord]) -> String {
-    let describe = |r: &CallRecord| {
-        let ending = match &r.ending {
-            Ending::Refused { code, .. } => code.to_string(),
-            other => format!("{other:?}"),
-        };
-        format!("{} {} to {} ms {ending}", r.address, r.sent_at_ms, r.ended_at_ms)
-    };
-    let first = tries.first().map(|first| first.organisation.as_str()).unwrap_or_default();
-    let tries: Vec<String> = tries.iter().map(describe).collect();
-    format!("{first}: {}", tries.join("; "))
-}
-
-fn is_broken(record: &CallRecord) -> bool {
-    matches!(record.ending, Ending::NoAnswer | Ending::Cut { .. })
+    let tries: Vec<String> = tries.iter().map(CallRecord::to_string).collect();
+    tries.join("; ")
 }
 
 fn first_refused(requests: &[Vec<CallRecord>]) -> usize {
-    let is_refused = |r: &CallRecord| matches!(r.ending, Ending::Refused { .. });
-    requests.iter().filter(|tries| tries.first().is_some_and(is_refused)).count()
+    requests.iter().filter(|tries| tries.first().is_some_and(CallRecord::is_refused)).count()
 }
 
 fn longest_ms(tries: &[CallRecord]) -> u64 {
--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -7,6 +7,7 @@
 mod edits;
 mod flood;
 mod halve;
+mod holders;
 mod kill;
 mod measured;
 mod partition;
--- a/src/bench/experiments/partition.rs
+++ b/src/bench/experiments/partition.rs
@@ -1,20 +1,16 @@
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hyper::Method;
-use smol_str::{SmolStr, ToSmolStr};
+use smol_str::SmolStr;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::kill::held_by;
+use super::holders::find_budget_holder;
 use crate::bench::check::{check_invariants, count_endings, describe_endings, largest_excess};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::{
-    BenchError, CallRecord, Caller, Ending, Fleet, Node, Options, Prompt, Report, Target,
-    send_load_to,
+    BenchError, CallRecord, Caller, Fleet, Node, Options, Prompt, Report, Target, send_load_to,
 };
-use crate::gateway::BUDGET_SHARDS;
-use crate::units::{OrganisationId, ShardId};
 
 /// Takeover from an owner, as the acceptance thresholds state it.
 const TAKEOVER_LIMIT_MS: u64 = 5_000;
@@ -62,6 +58,36 @@
     in_force_ms: f64,
 }
 
+/// When a request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// While a takeover may still go on.
+    FirstSeconds,
+    TakenOver,
+    Restored,
+}
+
+/// Parts of the requests, each with whether their gateways are cut off.
+const PARTS: [(&str, Phase, Option<bool>); 5] = [
+    ("answered in the first 5 s, majority", Phase::FirstSeconds, Some(false)),
+    ("answered in the first 5 s, cut off", Phase::FirstSeconds, Some(true)),
+    ("answered 5 s into the cut, majority", Phase::TakenOver, Some(false)),
+    ("answered 5 s into the cut, cut off", Phase::TakenOver, Some(true)),
+    ("answered 5 s after the cut", Phase::Restored, None),
+];
+
+impl Phase {
+    fn of(record: &CallRecord, events: &Events) -> Option<Phase> {
+        let taken_over_ms = events.begun_at_ms + TAKEOVER_LIMIT_MS;
+        match record.sent_at_ms {
+            at if (events.begun_at_ms..taken_over_ms).contains(&at) => Some(Phase::FirstSeconds),
+            at if (taken_over_ms..events.ended_at_ms).contains(&at) => Some(Phase::TakenOver),
+            at if at > events.ended_at_ms + TAKEOVER_LIMIT_MS => Some(Phase::Restored),
+            _ => None,
+        }
+    }
+}
+
 /// Callers that keep to all gateways evenly, whatever the gateways advise.
 #[derive(Clone)]
 struct EveryGateway {
@@ -146,32 +172,17 @@
 
 /// The holder of the limited organisation's budget, and the gateways after it.
 async fn choose_minority(fleet: &Fleet, cut: Cut) -> Vec<usize> {
-    let organisation = OrganisationId::new(fleet.document.deployment.organisations()[0]);
-    let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS).to_string();
+    let organisation = fleet.document.deployment.organisations()[0];
+    let first = find_budget_holder(fleet, organisation).await;
     let count = fleet.gateways.len();
-    let mut first = 0;
-    for (index, gateway) in fleet.gateways.iter().enumerate() {
-        if held_by(fleet, &fleet.addresses(), gateway.name()).await.contains_key(&shard) {
-            first = index;
-        }
-    }
     (first..first + cut.minority()).map(|index| index % count).collect()
 }
 
 /// Milliseconds until every gateway had the version in force.
 async fn wait_for_version(fleet: &Fleet, version: Option<u64>) -> f64 {
     let begun_at = Instant::now();
-    for address in fleet.addresses() {
-        while !fleet
-            .status(&address)
-            .await
-            .is_ok_and(|s| s["version"].as_u64() >= version && s["is_confirmed"] == true)
-        {
-            if begun_at.elapsed() > AFTER {
-                return f64::INFINITY;
-            }
-            tokio::time::sleep(POLL).await;
-        }
+    if !fleet.wait_for_version(&fleet.addresses(), version, begun_at + AFTER).await {
+        return f64::INFINITY;
     }
     begun_at.elapsed().as_millis() as f64
 }
@@ -235,6 +246,7 @@
     report.bounded("edit in force after the cut", events.in_force_ms, "ms", limit);
 }
 
+/// Reports the share of answered requests of each part.
 fn report_service(
     records: &[&CallRecord],
     fleet: &Fleet,
@@ -244,45 +256,28 @@
 ) {
     let cut_off: Vec<&SmolStr> =
         events.minority.iter().map(|index| fleet.gateways[*index].address()).collect();
-    let is_cut_off = |record: &CallRecord| cut_off.contains(&&record.address);
-    let taken_over_ms = events.begun_at_ms + TAKEOVER_LIMIT_MS;
-    let during =
-        |record: &CallRecord| (taken_over_ms..events.ended_at_ms).contains(&record.sent_at_ms);
-    let first_seconds =
-        |record: &CallRecord| (events.begun_at_ms..taken_over_ms).contains(&record.sent_at_ms);
-    let after = |record: &CallRecord| record.sent_at_ms > events.ended_at_ms + TAKEOVER_LIMIT_MS;
-    let mut shares = BTreeMap::new();
-    let mut share = |name: &'static str, is_counted: &dyn Fn(&CallRecord) -> bool| {
-        let counted: Vec<&CallRecord> =
-            records.iter().copied().filter(|record| is_counted(record)).collect();
-        let complete = counted.iter().filter(|record| record.is_complete()).count();
+    for (name, phase, side) in PARTS {
+        let is_on_side = |record: &CallRecord| {
+            side.is_none_or(|wanted| wanted == cut_off.contains(&&record.address))
+        };
+        let counted: Vec<&&CallRecord> = records
+            .iter()
+            .filter(|record| Phase::of(record, events) == Some(phase) && is_on_side(record))
+            .collect();
         for record in counted.iter().filter(|record| !record.is_complete()).take(SHOWN_FAILURES) {
-            let CallRecord { ending, address, sent_at_ms, ended_at_ms, .. } = record;
-            let ending = match ending {
-                Ending::Refused { code, .. } => code.clone(),
-                other => format!("{other:?}").to_smolstr(),
-            };
-            report
-                .progress(&format!("{name}: {address} {sent_at_ms} to {ended_at_ms} ms: {ending}"));
+            report.progress(&format!("{name}: {record}"));
         }
-        shares.insert(name, complete as f64 / counted.len().max(1) as f64);
-    };
-    share("answered in the first 5 s, majority", &|r| first_seconds(r) && !is_cut_off(r));
-    share("answered in the first 5 s, cut off", &|r| first_seconds(r) && is_cut_off(r));
-    share("answered 5 s into the cut, majority", &|r| during(r) && !is_cut_off(r));
-    share("answered 5 s into the cut, cut off", &|r| during(r) && is_cut_off(r));
-    share("answered 5 s after the cut", &after);
-    let least = Bound::AtLeast(LEAST_SERVED_SHARE);
-    for (name, share) in shares {
+        let complete = counted.iter().filter(|record| record.is_complete()).count();
+        let share = complete as f64 / counted.len().max(1) as f64;
         // Gateways that reach neither peers nor the platform must refuse. Those that have lost
         // only their peers cannot reach the other side's owners, nor the other side theirs.
-        let is_bounded = match cut {
-            Cut::Platform => true,
-            Cut::Minority => name.ends_with("cut, majority") || name.ends_with("after the cut"),
-            Cut::Peers => name.ends_with("after the cut"),
+        let is_bounded = match (cut, phase) {
+            (Cut::Platform, _) | (_, Phase::Restored) => true,
+            (Cut::Minority, Phase::TakenOver) => side == Some(false),
+            _ => false,
         };
         if is_bounded {
-            report.bounded(name, share, "share", least);
+            report.bounded(name, share, "share", Bound::AtLeast(LEAST_SERVED_SHARE));
         } else {
             report.value(PRODUCT, name, share, "share");
         }
--- a/src/bench/experiments/removal.rs
+++ b/src/bench/experiments/removal.rs
@@ -11,8 +11,8 @@
 use crate::bench::experiments::measured::{goodput_share, in_time_share, served_share, since};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::{
-    AddressBook, BenchError, CallRecord, Caller, Fleet, Gateways, Options, Report, Stream,
-    send_load_to,
+    AddressBook, BenchError, CallRecord, Caller, Fleet, FleetBuilder, Gateways, Options, Report,
+    Stream, send_load_to,
 };
 use crate::standin::EngineStats;
 use crate::units::AttemptId;
@@ -35,6 +35,13 @@
     pub return_after: Duration,
 }
 
+/// A fleet whose slices have two prefill endpoints or more. A slice with one would lose its decode
+/// endpoints together with that.
+pub async fn start_fleet(options: &Options) -> Result<Fleet, BenchError> {
+    let slices = (options.deployment.engines().0 / 2).max(1) as u32;
+    FleetBuilder::new(options.programs.clone(), options.deployment).slices(slices).start().await
+}
+
 /// Sends the load, removes and returns the endpoints, and reports service and new work on the
 /// removed endpoints.
 pub async fn run_removal(
--- a/src/bench/experiments/repeat.rs
+++ b/src/bench/experiments/repeat.rs
@@ -8,12 +8,10 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::kill::held_by;
+use super::holders::find_budget_holder;
 use crate::bench::check::{check_invariants, count_endings, describe_endings};
 use crate::bench::report::Bound;
-use crate::bench::{BenchError, CallRecord, Caller, Ending, Fleet, Options, Prompt, Report};
-use crate::gateway::BUDGET_SHARDS;
-use crate::units::{OrganisationId, ShardId};
+use crate::bench::{BenchError, CallRecord, Caller, Options, Prompt, Report};
 
 /// Requests that have completed, and that still run, when the holder of their ids dies.
 const COMPLETED: usize = 20;
@@ -32,7 +30,7 @@
     let fleet = super::small_fleet(options).start().await?;
     let mut random = StdRng::seed_from_u64(options.seed);
     let organisation = options.deployment.organisations()[1];
-    let holder = holder_of(&fleet, organisation).await;
+    let holder = find_budget_holder(&fleet, organisation).await;
     let survivors = fleet.addresses_without(holder);
     let caller = Caller::default();
     let short = prompts(organisation, "short", COMPLETED, SHORT_TOKENS, &mut random);
@@ -53,24 +51,13 @@
     let complete = records.iter().filter(|record| record.is_complete()).count();
     let expected = Bound::AtLeast((COMPLETED + RUNNING) as f64);
     report.bounded("first tries answered", complete as f64, "requests", expected);
-    let is_recognised = |record: &&CallRecord| matches!(&record.ending, Ending::Refused { code, .. } if code == "duplicate_request");
-    let recognised = repeats.iter().filter(is_recognised).count() as f64;
+    let recognised =
+        repeats.iter().filter(|r| r.is_refused_with("duplicate_request")).count() as f64;
     report.bounded("repeats recognised", recognised, "requests", Bound::AtLeast(1.0));
     records.extend(repeats);
     check_invariants(&fleet, &records, report).await
 }
 
-async fn holder_of(fleet: &Fleet, organisation: &str) -> usize {
-    let shard = ShardId::of_organisation(&OrganisationId::new(organisation), BUDGET_SHARDS);
-    let shard = shard.to_string();
-    for (index, gateway) in fleet.gateways.iter().enumerate() {
-        if held_by(fleet, &fleet.addresses(), gateway.name()).await.contains_key(&shard) {
-            return index;
-        }
-    }
-    0
-}
-
 /// Prompts with the full number of tokens, each with a request id.
 fn prompts(
     organisation: &str,
--- a/src/bench/experiments/roles.rs
+++ b/src/bench/experiments/roles.rs
@@ -6,13 +6,12 @@
 
 use crate::bench::check::check_invariants;
 use crate::bench::experiments::edits::{put, read_section};
-use crate::bench::experiments::kill::{held_by, report_requests};
+use crate::bench::experiments::holders::find_holder;
+use crate::bench::experiments::kill::report_requests;
 use crate::bench::fleet_document::MODEL;
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::resend::{LoadSwitch, send_resending};
-use crate::bench::{
-    AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Process, Report,
-};
+use crate::bench::{AddressBook, BenchError, CallRecord, Caller, Fleet, Options, Process, Report};
 use crate::config::WEIGHT_STORE;
 use crate::http::HttpClient;
 use crate::standin::{EngineRole, EngineStats};
@@ -160,28 +159,17 @@
     Ok(())
 }
 
-/// Prefill and decode engines alternate between the slices by their index.
-fn engines(fleet: &Fleet) -> impl Iterator<Item = &Process> {
-    fleet.prefill.iter().chain(&fleet.decode)
-}
-
+/// Statistics of all engines. They alternate between the slices, prefill engines first.
 async fn engine_stats(fleet: &Fleet) -> Result<Vec<EngineStats>, BenchError> {
     let mut stats = Vec::new();
-    for engine in engines(fleet) {
+    for engine in fleet.engines() {
         stats.push(fleet.stats(engine).await?);
     }
     Ok(stats)
 }
 
 async fn owner_of_first_slice(fleet: &Fleet) -> usize {
-    let addresses = fleet.addresses();
-    for (index, gateway) in fleet.gateways.iter().enumerate() {
-        let held = held_by(fleet, &addresses, gateway.name()).await;
-        if held.keys().any(|shard| shard.starts_with("pool/") && shard.ends_with("/0")) {
-            return index;
-        }
-    }
-    0
+    find_holder(fleet, |shard| shard.starts_with("pool/") && shard.ends_with("/0")).await
 }
 
 fn wanted_roles(fleet: &Fleet) -> Vec<EngineRole> {
@@ -190,7 +178,7 @@
         let is_exchanged = EXCHANGED.contains(&engine.name().as_str());
         if is_prefill != is_exchanged { EngineRole::Prefill } else { EngineRole::Decode }
     };
-    engines(fleet).map(wanted).collect()
+    fleet.engines().map(wanted).collect()
 }
 
 fn has_wanted(engine: &EngineStats, role: EngineRole) -> bool {
@@ -200,8 +188,7 @@
 
 /// The death of a gateway breaks its callers' connections; nothing else may cut a request.
 fn report_cuts(records: &[CallRecord], victim: &SmolStr, report: &mut Report) {
-    let is_cut = |r: &&CallRecord| matches!(r.ending, Ending::Cut { .. } | Ending::NoAnswer);
-    let cut: Vec<&CallRecord> = records.iter().filter(is_cut).collect();
+    let cut: Vec<&CallRecord> = records.iter().filter(|record| record.is_broken()).collect();
     for record in cut.iter().filter(|record| record.address != *victim).take(5) {
         report.progress(&format!("cut at {}: {:?}", record.address, record.ending));
     }
--- a/src/bench/experiments/silent.rs
+++ b/src/bench/experiments/silent.rs
@@ -38,7 +38,7 @@
 
 /// Silences the engines one after the other, then all at once, then the platform.
 async fn silence(fleet: &Fleet, load: Duration) -> Result<u32, BenchError> {
-    let engines: Vec<_> = fleet.prefill.iter().chain(&fleet.decode).collect();
+    let engines: Vec<_> = fleet.engines().collect();
     let pause = load.mul_f64(0.8) / (engines.len() as u32 + 2);
     let silent = EngineFaults { silent: true, ..EngineFaults::default() };
     let mut silenced = 0;
--- a/src/bench/experiments/slopes/calls.rs
+++ b/src/bench/experiments/slopes/calls.rs
@@ -12,11 +12,9 @@
 use crate::budget::{Budgets, DrawAnswer, DrawRequest};
 use crate::clock::{BootClock, Clock};
 use crate::config::Rate;
-use crate::gateway::BUDGET_SHARDS;
+use crate::gateway::{BUDGET_SHARDS, budget_shard};
 use crate::standin::PlatformStats;
-use crate::units::{
-    Fencing, Incarnation, InstanceId, OrganisationId, ShardId, Tokens, TokensPerSecond,
-};
+use crate::units::{Fencing, Incarnation, InstanceId, OrganisationId, Tokens, TokensPerSecond};
 
 const WARM_UP: Duration = Duration::from_secs(12);
 /// A new holder grants nothing until grants of an earlier one have expired, and then fills.
@@ -97,7 +95,7 @@
         burst_tokens: Tokens(1_000_000_000),
     };
     budgets.set_rates(&BTreeMap::from([(organisation.clone(), rate)]));
-    let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+    let shard = budget_shard(&organisation);
     budgets.gain(&shard, Fencing(1), clock.now());
     tokio::time::sleep(NEW_HOLDER_WAIT).await;
     let lease_deadline = clock.now().plus_ms(3_600_000);
--- a/src/bench/experiments/store_outage.rs
+++ b/src/bench/experiments/store_outage.rs
@@ -5,14 +5,14 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::kill::held_by;
+use super::holders::held_by;
 use crate::bench::check::{check_invariants, count_endings, describe_endings, largest_excess};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::resend::{LoadSwitch, send_resending};
 use crate::bench::{AddressBook, BenchError, CallRecord, Caller, Ending, Fleet, Options, Report};
-use crate::gateway::BUDGET_SHARDS;
+use crate::gateway::budget_shard;
 use crate::standin::PlatformFaults;
-use crate::units::{OrganisationId, ShardId};
+use crate::units::OrganisationId;
 
 /// The platform's table may be gone for longer than the leases last.
 const SHORTEST_OUTAGE: Duration = Duration::from_secs(5);
@@ -196,15 +196,8 @@
     }
     let Ok(status) = fleet.status(&addresses[0]).await else { return f64::INFINITY };
     let version = status["version"].as_u64();
-    for address in addresses {
-        while !fleet.status(address).await.is_ok_and(|status| {
-            status["version"].as_u64() >= version && status["is_confirmed"] == true
-        }) {
-            if begun_at.elapsed() > PATIENCE {
-                return f64::INFINITY;
-            }
-            tokio::time::sleep(POLL).await;
-        }
+    if !fleet.wait_for_version(addresses, version, begun_at + PATIENCE).await {
+        return f64::INFINITY;
     }
     begun_at.elapsed().as_millis() as f64
 }
@@ -224,7 +217,7 @@
 fn report_service(records: &[CallRecord], outage: &Outage, tight: &str, report: &mut Report) {
     let has_owner = |name: &SmolStr| {
         let organisation = OrganisationId::new(name.clone());
-        let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+        let shard = budget_shard(&organisation);
         !outage.victims_shards.contains_key(&shard.to_string())
     };
     let in_outage = outage.begun_at_ms..outage.ended_at_ms;
@@ -238,8 +231,7 @@
     let share = complete as f64 / sent.len().max(1) as f64;
     report.progress(&describe_endings(&count_endings(sent.iter().copied())));
     for record in sent.iter().filter(|record| !record.is_complete()).take(SHOWN_FAILURES) {
-        let CallRecord { ending, address, sent_at_ms, ended_at_ms, .. } = record;
-        report.progress(&format!("{address} {sent_at_ms} to {ended_at_ms} ms: {ending:?}"));
+        report.progress(&record.to_string());
     }
     report.bounded("requests in the outage", sent.len() as f64, "requests", Bound::AtLeast(10.0));
     let least = Bound::AtLeast(LEAST_SERVED_SHARE);
@@ -252,9 +244,8 @@
     let is_stale =
         |code: &str, outcome: &str| code == "stale_configuration" && outcome == "not_run";
     let is_allowed = match &record.ending {
-        Ending::NoAnswer | Ending::Cut { .. } => true,
         Ending::Refused { code, outcome, .. } => is_stale(code, outcome),
-        Ending::Complete | Ending::Cancelled => false,
+        _ => record.is_broken(),
     };
     is_allowed && victim == Some(&record.address)
 }
--- a/src/bench/experiments/withdraw.rs
+++ b/src/bench/experiments/withdraw.rs
@@ -12,7 +12,7 @@
 use crate::bench::check::{check_invariants, count_endings, describe_endings};
 use crate::bench::report::{Bound, PRODUCT};
 use crate::bench::resend::LoadSwitch;
-use crate::bench::{BenchError, CallRecord, Caller, Ending, Options, Report, Stream, draw_prompt};
+use crate::bench::{BenchError, CallRecord, Caller, Options, Report, Stream, draw_prompt};
 
 /// A revoked key stops working everywhere within this time.
 const WITHDRAWN_LIMIT_MS: u64 = 3_000;
@@ -89,7 +89,7 @@
 
 fn report_withdrawals(records: &[CallRecord], withdrawals: &[(SmolStr, u64)], report: &mut Report) {
     let none = Bound::AtMost(0.0);
-    let is_unknown = |record: &CallRecord| matches!(&record.ending, Ending::Refused { code, .. } if code == "unknown_key");
+    let is_unknown = |record: &CallRecord| record.is_refused_with("unknown_key");
     let (mut late, mut longest_ms, mut tested) = (0, 0, 0);
     for (organisation, at_ms) in withdrawals {
         let of_organisation = records.iter().filter(|r| r.organisation == *organisation);
@@ -112,8 +112,7 @@
     });
     let harmed: Vec<&CallRecord> = harmed.collect();
     for record in harmed.iter().take(5) {
-        let CallRecord { ending, organisation, sent_at_ms, ended_at_ms, .. } = record;
-        report.progress(&format!("{organisation} {sent_at_ms} to {ended_at_ms} ms: {ending:?}"));
+        report.progress(&record.to_string());
     }
     report.value(PRODUCT, "requests", records.len() as f64, "requests");
     report.bounded("withdrawn keys", withdrawals.len() as f64, "keys", Bound::AtLeast(1.0));
--- a/src/bench/experiments/zone.rs
+++ b/src/bench/experiments/zone.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use crate::bench::experiments::measured::{WARM_UP, streams_of};
-use crate::bench::experiments::removal::{Removal, run_removal};
-use crate::bench::{BenchError, CallRecord, FleetBuilder, Options, Report};
+use crate::bench::experiments::removal::{Removal, run_removal, start_fleet};
+use crate::bench::{BenchError, CallRecord, Options, Report};
 
 /// Requests per second and decode endpoint that stays. It leaves the endpoints of two zones
 /// below nine tenths of their slots.
@@ -10,12 +10,7 @@
 
 /// Takes an availability zone out under load and brings it back.
 pub async fn run(options: &Options, report: &mut Report) -> Result<Vec<CallRecord>, BenchError> {
-    // A slice with one prefill endpoint would lose its decode endpoints together with that.
-    let slices = (options.deployment.engines().0 / 2).max(1) as u32;
-    let fleet = FleetBuilder::new(options.programs.clone(), options.deployment)
-        .slices(slices)
-        .start()
-        .await?;
+    let fleet = start_fleet(options).await?;
     let zone = options.deployment.zones()[1];
     let in_zone = |name: &str| {
         fleet.document.endpoints.iter().any(|e| e.name.as_str() == name && e.zone.as_str() == zone)
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde_json::Value;
 use smol_str::SmolStr;
+use tokio::time::Instant;
 
 use crate::bench::fleet_document::BEARER_CREDENTIAL;
 use crate::bench::relay::{Cuts, Relay};
@@ -42,15 +43,19 @@
         self.gateways.iter().map(|gateway| gateway.address().clone()).collect()
     }
 
+    /// All engines, the prefill engines first.
+    pub fn engines(&self) -> impl Iterator<Item = &Process> {
+        self.prefill.iter().chain(&self.decode)
+    }
+
     /// Names of the engines in the document.
     pub fn engine_names(&self) -> impl Iterator<Item = String> + '_ {
-        let engines = self.prefill.iter().chain(&self.decode);
-        engines.map(|engine| engine.name().to_string())
+        self.engines().map(|engine| engine.name().to_string())
     }
 
     /// The process of the engine with this name.
     pub fn engine(&self, name: &str) -> Option<&Process> {
-        self.prefill.iter().chain(&self.decode).find(|engine| engine.name() == name)
+        self.engines().find(|engine| engine.name() == name)
     }
 
     /// Slots of each decode endpoint.
@@ -127,6 +132,27 @@
         Ok(serde_json::from_slice(&body).unwrap_or_default())
     }
 
+    /// Waits until the gateways have the version in force and confirmed. Returns whether they had by
+    /// the deadline.
+    pub async fn wait_for_version(
+        &self,
+        gateways: &[SmolStr],
+        version: Option<u64>,
+        deadline: Instant,
+    ) -> bool {
+        for gateway in gateways {
+            while !self.status(gateway).await.is_ok_and(|status| {
+                status["version"].as_u64() >= version && status["is_confirmed"] == true
+            }) {
+                if Instant::now() > deadline {
+                    return false;
+                }
+                tokio::time::sleep(READY_POLL).await;
+            }
+        }
+        true
+    }
+
     /// Sends an operator's request, with the credential of the fleet's team.
     pub async fn admin(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 pub use gateway_error::GatewayError;
 pub use gateway_metrics::GatewayMetrics;
 pub use handler::GatewayHandler;
-pub use node::{BUDGET_SHARDS, Node};
+pub use node::{BUDGET_SHARDS, Node, budget_shard};
 pub use node_draws::NodeDraws;
 pub use node_peers::NodePeers;
 pub use peer_versions::PeerVersions;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -18,10 +18,16 @@
 use crate::serve::{InFlight, LiveAttempts, LiveClaims, RetryBudget};
 use crate::settings::GatewaySettings;
 use crate::suspect::Suspects;
+use crate::units::{OrganisationId, ShardId};
 
 /// Shards of organisations. Fixed, since all instances must agree on it.
 pub const BUDGET_SHARDS: u32 = 16;
 
+/// The shard that holds an organisation's budget and request ids.
+pub fn budget_shard(organisation: &OrganisationId) -> ShardId {
+    ShardId::of_organisation(organisation, BUDGET_SHARDS)
+}
+
 /// Everything that one entry instance holds.
 pub struct Node {
     pub settings: GatewaySettings,
--- a/src/gateway/node_draws.rs
+++ b/src/gateway/node_draws.rs
@@ -1,9 +1,8 @@
 use std::rc::Weak;
 
 use crate::budget::{DrawAnswer, DrawCalls, DrawError, DrawRequest};
-use crate::gateway::{BUDGET_SHARDS, Node};
+use crate::gateway::{Node, budget_shard};
 use crate::route::{Holder, find_holder};
-use crate::units::ShardId;
 
 /// Sends draws to the holder of the organisation's budget.
 #[derive(Clone)]
@@ -20,7 +19,7 @@
 impl DrawCalls for NodeDraws {
     async fn draw(&self, request: &DrawRequest) -> Result<DrawAnswer, DrawError> {
         let node = self.node.upgrade().ok_or(DrawError::Unreachable)?;
-        let shard = ShardId::of_organisation(&request.organisation, BUDGET_SHARDS);
+        let shard = budget_shard(&request.organisation);
         match find_holder(&node, &shard).await {
             Ok(Holder::Own(held)) => Ok(node.budgets.draw(request, held.deadline)),
             Ok(Holder::Peer(client, _)) => {
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -7,7 +7,7 @@
 use tokio::task::spawn_local;
 
 use crate::config::{Document, Endpoint};
-use crate::gateway::{BUDGET_SHARDS, Node};
+use crate::gateway::{BUDGET_SHARDS, Node, budget_shard};
 use crate::lease::LeaseEvent;
 use crate::serve::collect_claims;
 use crate::units::ShardId;
@@ -39,9 +39,7 @@
 
 fn lose_budgets(node: &Node, shard: &ShardId) {
     node.budgets.lose(shard);
-    node.claims.keep_organisations(|organisation| {
-        ShardId::of_organisation(organisation, BUDGET_SHARDS) != *shard
-    });
+    node.claims.keep_organisations(|organisation| budget_shard(organisation) != *shard);
 }
 
 /// Puts each new version of the document in force in the owners.
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -1,7 +1,7 @@
 use crate::budget::{DrawAnswer, DrawRequest, ReportedClaim};
 use crate::clock::Clock;
 use crate::config::Change;
-use crate::gateway::{BUDGET_SHARDS, Node};
+use crate::gateway::{Node, budget_shard};
 use crate::lease::{Holding, LeaseClaim};
 use crate::peer::{Heartbeat, HeartbeatSource, PeerService, RequestClaim};
 use crate::pool::{Admission, AdmitAnswer, FinishedAttempt, Progress};
@@ -37,7 +37,7 @@
     }
 
     fn draw(&self, request: DrawRequest) -> DrawAnswer {
-        let shard = ShardId::of_organisation(&request.organisation, BUDGET_SHARDS);
+        let shard = budget_shard(&request.organisation);
         match self.leases.held(&shard) {
             Some(held) => self.budgets.draw(&request, held.deadline),
             None => DrawAnswer::NotHolder(self.other_holder(&shard)),
@@ -53,7 +53,7 @@
         match claim_here(self, &organisation, &request, &attempt) {
             Some((claim, _)) => claim,
             None => {
-                let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+                let shard = budget_shard(&organisation);
                 RequestClaim::NotHolder(self.other_holder(&shard))
             }
         }
@@ -70,7 +70,7 @@
         attempt: AttemptId,
         completed: bool,
     ) -> bool {
-        let shard = ShardId::of_organisation(&organisation, BUDGET_SHARDS);
+        let shard = budget_shard(&organisation);
         let is_holder = self.leases.held(&shard).is_some();
         if is_holder {
             self.claims.finish(&organisation, &request, &attempt, completed);
--- a/src/pool/changing.rs
+++ b/src/pool/changing.rs
@@ -84,10 +84,7 @@
     fn is_drained(&self, id: &EndpointId, now: Instant) -> bool {
         let Some(endpoint) = self.endpoints.get(id) else { return false };
         let Some(change) = &endpoint.change else { return false };
-        let is_reserved = self.reservations.values().any(|reservation| {
-            reservation.decode == *id
-                || (reservation.prefill == *id && reservation.output_tokens.get() == 0)
-        });
+        let is_reserved = self.reservations.values().any(|reservation| reservation.runs_on(id));
         now >= self.nothing_freed_before
             && !is_reserved
             && endpoint.occupancy.used_slots() == 0
@@ -121,10 +118,7 @@
         if endpoint.change.as_ref().is_none_or(|change| now < change.drain_deadline) {
             return;
         }
-        let runs_here = self.reservations.iter().filter(|(_, reservation)| {
-            reservation.decode == *id
-                || (reservation.prefill == *id && reservation.output_tokens.get() == 0)
-        });
+        let runs_here = self.reservations.iter().filter(|(_, reservation)| reservation.runs_on(id));
         let left: Vec<AttemptId> = runs_here.map(|(attempt, _)| attempt.clone()).collect();
         for attempt in left {
             log::info!(target: "pool", "attempt {attempt} moved: {id} is drained no longer");
@@ -200,31 +194,21 @@
             return Some(format_smolstr!("another {} endpoint", endpoint.entry.role));
         }
         // One more endpoint of the new revision is of no use until it has a partner there.
-        let is_paired = self.has_partner(endpoint);
+        let is_paired = endpoint.has_partner(self.endpoints.values());
         let lonely = self.endpoints.iter().find(|(other, e)| {
             *other != id
                 && e.is_open()
                 && e.entry.role == endpoint.wanted.role
-                && !self.has_partner(e)
+                && !e.has_partner(self.endpoints.values())
         });
         let (lonely, _) = lonely.filter(|_| is_paired)?;
         Some(format_smolstr!("a partner of {lonely}"))
     }
 
-    /// Whether an endpoint of the other role is open with the same revision.
-    fn has_partner(&self, endpoint: &EndpointLedger) -> bool {
-        let mut open = self.endpoints.values().filter(|e| e.is_open());
-        open.any(|e| e.entry.role != endpoint.entry.role && e.revision() == endpoint.revision())
-    }
-
     /// Whether other endpoints of both roles and one revision are open.
     fn serves_without(&self, id: &EndpointId) -> bool {
-        let open = |role: Role| {
-            let others = self.endpoints.iter().filter(move |(other, _)| *other != id);
-            others.map(|(_, e)| e).filter(move |e| e.entry.role == role && e.is_open())
-        };
-        open(Role::Prefill)
-            .any(|prefill| open(Role::Decode).any(|decode| decode.revision() == prefill.revision()))
+        let others = || self.endpoints.iter().filter(|(other, _)| *other != id).map(|(_, e)| e);
+        others().any(|endpoint| endpoint.is_open() && endpoint.has_partner(others()))
     }
 
     /// Whether the order is still the next one: the document or the engine may have changed.
--- a/src/pool/endpoint_ledger.rs
+++ b/src/pool/endpoint_ledger.rs
@@ -103,6 +103,20 @@
         self.in_service && self.health == Health::Up && self.change.is_none() && self.has_role
     }
 
+    /// Whether it is open, with this role.
+    pub fn is_open_as(&self, role: Role) -> bool {
+        self.entry.role == role && self.is_open()
+    }
+
+    /// Whether an endpoint of the other role is open with the same revision.
+    pub fn has_partner<'a>(&self, mut others: impl Iterator<Item = &'a EndpointLedger>) -> bool {
+        others.any(|other| {
+            other.entry.role != self.entry.role
+                && other.is_open()
+                && other.revision() == self.revision()
+        })
+    }
+
     /// May get new work once a probe answers.
     pub fn may_open(&self) -> bool {
         let may_have_role = self.reported.is_none() || self.has_role;
--- a/src/pool/keep.rs
+++ b/src/pool/keep.rs
@@ -27,7 +27,7 @@
         let queue = &self.queues[Lane::Suspects as usize];
         let waiting = queue.len();
         let is_usable = |id| queue.candidates(now).any(|w| !w.admission.avoid.contains(id));
-        let open = self.endpoints.iter().filter(|(_, e)| e.entry.role == role && e.is_open());
+        let open = self.endpoints.iter().filter(|(_, e)| e.is_open_as(role));
         let mut open: Vec<_> = open.filter(|(id, _)| is_usable(id)).collect();
         let most = (open.len() / Self::OPEN_PER_KEPT).max(1);
         // Those kept already stay, since nothing new has started there.
--- a/src/pool/pool_state.rs
+++ b/src/pool/pool_state.rs
@@ -117,7 +117,7 @@
     }
 
     pub fn free_slots(&self, now: Instant) -> u32 {
-        let open = self.endpoints.values().filter(|e| e.entry.role == Role::Decode && e.is_open());
+        let open = self.endpoints.values().filter(|e| e.is_open_as(Role::Decode));
         open.map(|e| e.free_slots(now)).sum()
     }
 
--- a/src/pool/reconciliation.rs
+++ b/src/pool/reconciliation.rs
@@ -60,11 +60,9 @@
 
     /// The requests that run on an endpoint, but for an attempt that did not reach it.
     fn running_on(&self, endpoint: &EndpointId, unreached: Option<&AttemptId>) -> Vec<RanRequest> {
-        let runs = |reservation: &Reservation| {
-            reservation.decode == *endpoint
-                || (reservation.prefill == *endpoint && reservation.output_tokens.get() == 0)
-        };
-        let running = self.reservations.iter().filter(|(id, r)| Some(*id) != unreached && runs(r));
+        let is_running =
+            |(id, r): &(&AttemptId, &Reservation)| Some(*id) != unreached && r.runs_on(endpoint);
+        let running = self.reservations.iter().filter(is_running);
         let ran = |reservation: &Reservation| RanRequest {
             fingerprint: reservation.fingerprint,
             output_tokens: reservation.output_tokens,
--- a/src/pool/reservation.rs
+++ b/src/pool/reservation.rs
@@ -33,6 +33,12 @@
         self.output_tokens >= self.proof_tokens
     }
 
+    /// Whether the attempt takes part of the endpoint: the prefill endpoint is done with the first
+    /// token.
+    pub fn runs_on(&self, endpoint: &EndpointId) -> bool {
+        self.decode == *endpoint || (self.prefill == *endpoint && self.output_tokens.get() == 0)
+    }
+
     pub fn lane(&self) -> Lane {
         Lane::of(self.class, self.is_suspect)
     }
--- a/src/pool/selection.rs
+++ b/src/pool/selection.rs
@@ -1,7 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use smol_str::SmolStr;
-
 use crate::clock::Instant;
 use crate::config::{Model, Role};
 use crate::pool::Admission;
@@ -86,8 +84,8 @@
     /// Whether every open decode endpoint is out of slots. Spares the search for each waiting
     /// request under overload. Without an open endpoint the search finds out why.
     pub fn is_full(&self) -> bool {
-        let is_open = |e: &&EndpointLedger| e.entry.role == Role::Decode && e.is_open();
-        let mut open = self.endpoints.values().filter(is_open).peekable();
+        let open = self.endpoints.values().filter(|e| e.is_open_as(Role::Decode));
+        let mut open = open.peekable();
         open.peek().is_some() && open.all(|e| e.free_slots(self.now) == 0)
     }
 
@@ -126,8 +124,7 @@
         role: Role,
     ) -> impl Iterator<Item = (&'b EndpointId, &'b EndpointLedger)> {
         self.endpoints.iter().filter(move |(id, e)| {
-            e.entry.role == role
-                && e.is_open()
+            e.is_open_as(role)
                 && e.free_slots(self.now) > 0
                 && self.admits(request, id, e)
                 && !request.avoid.contains(id)
@@ -155,9 +152,8 @@
             slots.max(memory) + Self::CROSSING_FILL * crossing(&e.entry.zone, &request.zone) as f64
         };
         let mut has_slot = false;
-        let revisions = self.prefill_revisions();
         self.usable(request, Role::Decode)
-            .filter(|(_, e)| revisions.contains(&e.revision()))
+            .filter(|(_, e)| e.has_partner(self.endpoints.values()))
             .inspect(|_| has_slot = true)
             .filter(|(_, e)| e.free_pieces() >= pieces)
             .min_by(|(_, a), (_, b)| fill(a).total_cmp(&fill(b)))
@@ -165,19 +161,6 @@
             .map_err(|()| if has_slot { Blocked::Memory } else { Blocked::Busy })
     }
 
-    /// Revisions that an open prefill endpoint has. An engine without a list of models has `None`.
-    fn prefill_revisions(&self) -> Vec<Option<&SmolStr>> {
-        let mut revisions = Vec::new();
-        for endpoint in self.endpoints.values() {
-            let revision = endpoint.revision();
-            let is_open = endpoint.entry.role == Role::Prefill && endpoint.is_open();
-            if is_open && !revisions.contains(&revision) {
-                revisions.push(revision);
-            }
-        }
-        revisions
-    }
-
     fn pair(
         &self,
         request: &Admission,
@@ -241,14 +224,13 @@
     /// While short prompts come, long ones leave them a part of the endpoints that corresponds to
     /// their part of the work.
     fn may_run_long(&self, endpoint: &EndpointLedger) -> bool {
-        let is_open = |e: &&EndpointLedger| e.entry.role == Role::Prefill && e.is_open();
-        let open = self.endpoints.values().filter(is_open).count();
-        if open < 2 || self.short_share <= 0.0 || endpoint.prefills.has_long(self.now) {
+        let open = || self.endpoints.values().filter(|e| e.is_open_as(Role::Prefill));
+        let count = open().count();
+        if count < 2 || self.short_share <= 0.0 || endpoint.prefills.has_long(self.now) {
             return true;
         }
-        let kept = ((open as f64 * self.short_share).ceil() as usize).clamp(1, open - 1);
-        let with_long = self.endpoints.values().filter(is_open);
-        with_long.filter(|e| e.prefills.has_long(self.now)).count() < open - kept
+        let kept = ((count as f64 * self.short_share).ceil() as usize).clamp(1, count - 1);
+        open().filter(|e| e.prefills.has_long(self.now)).count() < count - kept
     }
 }
 
--- a/src/serve/claim.rs
+++ b/src/serve/claim.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crate::clock::Clock;
-use crate::gateway::Node;
+use crate::gateway::{Node, budget_shard};
 use crate::peer::{PeerError, RequestClaim};
 use crate::route::{Holder, find_holder};
 use crate::serve::live_claims::LiveClaim;
@@ -128,6 +128,6 @@
     }
 
     fn shard(&self) -> ShardId {
-        ShardId::of_organisation(&self.organisation, crate::gateway::BUDGET_SHARDS)
+        budget_shard(&self.organisation)
     }
 }
--- a/src/serve/collect_claims.rs
+++ b/src/serve/collect_claims.rs
@@ -4,7 +4,7 @@
 use tokio::task::JoinSet;
 
 use crate::budget::ReportedClaim;
-use crate::gateway::Node;
+use crate::gateway::{Node, budget_shard};
 use crate::peer::{Member, PeerError, RequestClaim};
 use crate::units::{AttemptId, Fencing, OrganisationId, RequestId, ShardId};
 
@@ -48,7 +48,7 @@
     request: &RequestId,
     attempt: &AttemptId,
 ) -> Option<(RequestClaim, Fencing)> {
-    let shard = ShardId::of_organisation(organisation, crate::gateway::BUDGET_SHARDS);
+    let shard = budget_shard(organisation);
     let held = node.leases.held(&shard)?;
     if !node.claims.is_collected(&shard, held.fencing) {
         return None;
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -48,7 +48,7 @@
     let body = read_body(request, node.settings.max_body_bytes).await?;
     let parsed = CompletionRequest::parse(interface, &body)?;
     let call = Rc::new(check(node, route, organisation, &headers, &parsed)?);
-    if node.suspects.crashes(call.fingerprint) >= run::MAX_CRASHES {
+    if node.suspects.is_refused(call.fingerprint) {
         let outcome = Outcome::NotRun;
         return Err(CallError::CrashesEndpoints { outcome });
     }
--- a/src/serve/live_claims.rs
+++ b/src/serve/live_claims.rs
@@ -3,7 +3,7 @@
 
 use crate::budget::{ReportedClaim, RequestClaims};
 use crate::clock::{BootClock, Clock, Instant};
-use crate::gateway::BUDGET_SHARDS;
+use crate::gateway::budget_shard;
 use crate::units::{AttemptId, Fencing, OrganisationId, RequestId, ShardId};
 
 /// The request ids that this instance answers now, with the fencing number of the lease under
@@ -63,8 +63,7 @@
     /// All claims of a shard's organisations, running and completed.
     pub fn of_shard(&self, shard: &ShardId, clock: &impl Clock) -> Vec<ReportedClaim> {
         let now = clock.now();
-        let is_in_shard =
-            |name: &OrganisationId| ShardId::of_organisation(name, BUDGET_SHARDS) == *shard;
+        let is_in_shard = |name: &OrganisationId| budget_shard(name) == *shard;
         let live = self.claims.borrow();
         let live = live.iter().filter(|(_, claim)| is_in_shard(&claim.organisation));
         let live = live.map(|(attempt, claim)| ReportedClaim {
@@ -96,7 +95,7 @@
     pub(super) fn by_shard(&self) -> BTreeMap<ShardId, Vec<(AttemptId, LiveClaim)>> {
         let mut shards: BTreeMap<ShardId, Vec<_>> = BTreeMap::new();
         for (attempt, claim) in self.claims.borrow().iter() {
-            let shard = ShardId::of_organisation(&claim.organisation, BUDGET_SHARDS);
+            let shard = budget_shard(&claim.organisation);
             shards.entry(shard).or_default().push((attempt.clone(), claim.clone()));
         }
         shards
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -82,7 +82,7 @@
     /// Prompts and calls that the endpoints saw.
     async fn work(&self) -> (usize, u64) {
         let mut prompts = 0;
-        for engine in self.fleet.prefill.iter().chain(&self.fleet.decode) {
+        for engine in self.fleet.engines() {
             prompts += self.fleet.stats::<EngineStats>(engine).await.unwrap().prompts.len();
         }
         (prompts, self.fleet.stats::<PlainStats>(&self.fleet.plain[0]).await.unwrap().calls)
@@ -290,7 +290,7 @@
             assert_eq!(seen.status, 200, "{}", seen.text);
         }
         let fleet = &world.fleet;
-        for engine in fleet.prefill.iter().chain(&fleet.decode) {
+        for engine in fleet.engines() {
             let secrets = fleet.stats::<EngineStats>(engine).await.unwrap().secrets;
             assert_eq!(secrets.with_secret, 0, "{secrets:?}");
         }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -12,7 +12,7 @@
 use almondroad::clock::Clock;
 use almondroad::config::{Adapter, Document, Endpoint, Role, ServiceState};
 use almondroad::engine::{Engine, EngineState, Order, OrderRequest};
-use almondroad::pool::{AdmitAnswer, AttemptEnd, WeightDraws};
+use almondroad::pool::{Admission, AdmitAnswer, AttemptEnd, Plan, WeightDraws};
 use almondroad::units::{EndpointId, Fencing, ModelId};
 use fakes::*;
 use tokio::task::{LocalSet, spawn_local};
@@ -82,21 +82,27 @@
     begun.elapsed().as_millis() as u64
 }
 
+/// An owner with four running attempts, whose document now wants another role of `d2f`.
+async fn busy_owner_with_role_change() -> (Owner, Vec<(Admission, Plan)>) {
+    let mut document = document(SMALL, &[]);
+    let owner = Owner::start(&document, &Engines::default()).await;
+    sleep_ms(5000).await;
+    let mut live = Vec::new();
+    for sequence in 1..=4 {
+        let request = admission("g", sequence, "o");
+        live.push((request.clone(), owner.run(request).await));
+    }
+    want_role(&mut document, "d2f", Role::Prefill);
+    owner.pools.set_document(Rc::new(document));
+    (owner, live)
+}
+
 /// Guards against an order to an endpoint that still runs work, work for a role that the engine
 /// does not have, and a changed endpoint that is taken for warm.
 #[tokio::test(start_paused = true)]
 async fn a_role_change_drains_the_endpoint_first() {
     local(async {
-        let mut document = document(SMALL, &[]);
-        let owner = Owner::start(&document, &Engines::default()).await;
-        sleep_ms(5000).await;
-        let mut live = Vec::new();
-        for sequence in 1..=4 {
-            let request = admission("g", sequence, "o");
-            live.push((request.clone(), owner.run(request).await));
-        }
-        want_role(&mut document, "d2f", Role::Prefill);
-        owner.pools.set_document(Rc::new(document));
+        let (owner, live) = busy_owner_with_role_change().await;
         for second in 1..=6 {
             sleep_ms(1000).await;
             let attempts: Vec<_> = live.iter().map(|(a, plan)| (a, plan, 20 * second)).collect();
@@ -122,16 +128,7 @@
 #[tokio::test(start_paused = true)]
 async fn what_runs_at_the_drain_deadline_is_cancelled() {
     local(async {
-        let mut document = document(SMALL, &[]);
-        let owner = Owner::start(&document, &Engines::default()).await;
-        sleep_ms(5000).await;
-        let mut live = Vec::new();
-        for sequence in 1..=4 {
-            let request = admission("g", sequence, "o");
-            live.push((request.clone(), owner.run(request).await));
-        }
-        want_role(&mut document, "d2f", Role::Prefill);
-        owner.pools.set_document(Rc::new(document));
+        let (owner, live) = busy_owner_with_role_change().await;
         for second in 1..=70 {
             let attempts: Vec<_> = live.iter().map(|(a, plan)| (a, plan, 20 * second)).collect();
             owner.report("g", &attempts);
