Give all programs one error type and typed usage errors

Change: `Error` holds the error that ends a program and its exit code, `UsageError` each wrong use of a command line.

--- a/src/bench/bench_error.rs
+++ b/src/bench/bench_error.rs
@@ -4,15 +4,13 @@
 use derive_more::{Display, Error, From};
 
 use crate::http::HttpError;
+use crate::usage_error::UsageError;
 
 /// Why an experiment could not run.
 #[derive(Debug, Display, Error, From)]
 pub enum BenchError {
     #[display("{_0}")]
-    Usage(pico_args::Error),
-    #[display("no experiment is named {name}; `almondroad-bench list` names them")]
-    #[from(ignore)]
-    UnknownExperiment { name: String },
+    Usage(UsageError),
     #[display("process {name}: {source}")]
     #[from(ignore)]
     Process { name: String, source: io::Error },
--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -29,6 +29,7 @@
 use self::store_outage::Victim;
 use crate::bench::plot::plot;
 use crate::bench::{BenchError, CallRecord, FleetBuilder, Options, Report, Stream};
+use crate::usage_error::UsageError;
 
 /// Name and purpose of each experiment.
 pub const EXPERIMENTS: &[(&str, &str)] = &[
@@ -107,7 +108,7 @@
         "slopes-document" => slopes::document::run(options, report).await?,
         "slopes-requests" => slopes::requests::run(options, report).await?,
         "slopes-calls" => slopes::calls::run(options, report).await?,
-        _ => return Err(BenchError::UnknownExperiment { name: name.into() }),
+        _ => return Err(UsageError::UnknownExperiment { name: name.into() }.into()),
     }
     Ok(Vec::new())
 }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,8 +1,9 @@
 use pico_args::Arguments;
 use serde_json::json;
 
-use crate::cmd::{CmdError, Options, no_more, read_file, required};
+use crate::cmd::{CmdError, Options, read_file, required};
 use crate::config::{Finding, check_document};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad check [--json] FILE
@@ -13,7 +14,7 @@
 
 pub(super) fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let path = required(&mut arguments, "FILE")?;
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     let (_, findings) = check_document(&read_file(&path)?);
     if options.is_json {
         println!("{}", json!({ "findings": findings }));
--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -4,13 +4,13 @@
 use crate::cmd::Refusal;
 use crate::config::Finding;
 use crate::http::HttpError;
+use crate::usage_error::UsageError;
 
 /// Why a command failed. The message says what to do next.
 #[derive(Debug, Display, Error, From)]
 pub enum CmdError {
-    #[display("{problem}\nRun `almondroad --help` for the commands and their arguments.")]
-    #[from(ignore)]
-    Usage { problem: String },
+    #[display("{_0}\nRun `almondroad --help` for the commands and their arguments.")]
+    Usage(UsageError),
     #[display("cannot use {path}: {source}\nCheck the name of the file.")]
     #[from(ignore)]
     File { path: SmolStr, source: std::io::Error },
@@ -47,15 +47,10 @@
 }
 
 impl CmdError {
-    /// A wrong use of the command line.
-    pub fn usage(problem: impl Into<String>) -> CmdError {
-        CmdError::Usage { problem: problem.into() }
-    }
-
     /// 1 refused, 2 usage, 3 unreachable, 4 conflict.
     pub fn exit_code(&self) -> u8 {
         match self {
-            CmdError::Usage { .. } | CmdError::File { .. } => 2,
+            CmdError::Usage(_) | CmdError::File { .. } => 2,
             CmdError::Unreachable { .. } | CmdError::Broken { .. } => 3,
             CmdError::Refused(refusal) if refusal.code == "conflict" => 4,
             _ => 1,
@@ -65,7 +60,7 @@
     /// Stable name of the error for programs.
     pub fn code(&self) -> &str {
         match self {
-            CmdError::Usage { .. } => "usage",
+            CmdError::Usage(_) => "usage",
             CmdError::File { .. } => "file",
             CmdError::Unreachable { .. } => "unreachable",
             CmdError::Broken { .. } => "no_answer",
@@ -80,7 +75,7 @@
 
 impl From<pico_args::Error> for CmdError {
     fn from(error: pico_args::Error) -> CmdError {
-        CmdError::usage(error.to_string())
+        CmdError::Usage(error.into())
     }
 }
 
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -1,7 +1,8 @@
 use pico_args::Arguments;
 use similar::TextDiff;
 
-use crate::cmd::{CmdError, Gateway, Options, no_more, read_file, required};
+use crate::cmd::{CmdError, Gateway, Options, read_file, required};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad diff SECTION FILE
@@ -12,7 +13,7 @@
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let section = required(&mut arguments, "SECTION")?;
     let path = required(&mut arguments, "FILE")?;
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     let file = read_file(&path)?;
     let read = Gateway::of(options)?.get_text(Some(&section)).await?;
     let (old, new) = (read.text.trim(), file.trim());
--- a/src/cmd/edit.rs
+++ b/src/cmd/edit.rs
@@ -6,7 +6,8 @@
 use pico_args::Arguments;
 use smol_str::{SmolStr, ToSmolStr};
 
-use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, read_file, required};
+use crate::cmd::{CmdError, Gateway, Options, print_version, read_file, required};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad edit SECTION
@@ -17,10 +18,8 @@
 
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let section = required(&mut arguments, "SECTION")?;
-    no_more(arguments)?;
-    let editor = std::env::var("EDITOR").map_err(|_| {
-        CmdError::usage("set EDITOR to the program that edits the text, such as EDITOR=vi")
-    })?;
+    UsageError::check_empty(arguments)?;
+    let editor = std::env::var("EDITOR").map_err(|_| UsageError::NoEditor)?;
     let gateway = Gateway::of(options)?;
     let read = gateway.get_text(Some(&section)).await?;
     let path = write_draft(&section, &read.text)?;
--- a/src/cmd/endpoint.rs
+++ b/src/cmd/endpoint.rs
@@ -1,7 +1,8 @@
 use hyper::Method;
 use pico_args::Arguments;
 
-use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, required};
+use crate::cmd::{CmdError, Gateway, Options, print_version, required};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad endpoint drain ENDPOINT
@@ -14,9 +15,9 @@
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let action = required(&mut arguments, "drain or return")?;
     let endpoint = required(&mut arguments, "ENDPOINT")?;
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     if !["drain", "return"].contains(&action.as_str()) {
-        return Err(CmdError::usage(format!("expected drain or return, not {action}")));
+        return Err(UsageError::WrongWord { expected: "drain or return", given: action }.into());
     }
     let path = format!("endpoints/{endpoint}/{action}");
     print_version(&Gateway::of(options)?.edit(Method::POST, &path).await?, options);
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -10,6 +10,7 @@
 
 use crate::cmd::{CmdError, Credential, Options, Refusal};
 use crate::http::{HttpClient, HttpError};
+use crate::usage_error::UsageError;
 
 /// An edit whose outcome has to be resolved takes the gateway up to some 20 s.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -92,10 +93,10 @@
         let mut request = self
             .client
             .request(method, &path, body)
-            .map_err(|_| CmdError::usage(format!("{path} is not a valid path or address")))?;
+            .map_err(|_| UsageError::NoPath { path: path.into() })?;
         let mut set = |name: HeaderName, value: String| {
-            let value = HeaderValue::from_str(&value)
-                .map_err(|_| CmdError::usage("the credential holds characters of no credential"))?;
+            let value =
+                HeaderValue::from_str(&value).map_err(|_| UsageError::MalformedCredential)?;
             request.headers_mut().insert(name, value);
             Ok::<_, CmdError>(())
         };
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -1,7 +1,8 @@
 use pico_args::Arguments;
 
 use crate::cmd::table::{print_text, render_table, rows_of};
-use crate::cmd::{CmdError, Gateway, Options, no_more};
+use crate::cmd::{CmdError, Gateway, Options};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad history
@@ -14,7 +15,7 @@
     ["version", "team", "section", "removed_bytes", "inserted_bytes", "attempt"];
 
 pub(super) async fn run(arguments: Arguments, options: &Options) -> Result<(), CmdError> {
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     let answer = Gateway::of(options)?.get_json("history").await?;
     if options.is_json {
         print_text(&format!("{answer}\n"));
--- a/src/cmd/key.rs
+++ b/src/cmd/key.rs
@@ -1,7 +1,8 @@
 use hyper::Method;
 use pico_args::Arguments;
 
-use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, required};
+use crate::cmd::{CmdError, Gateway, Options, print_version, required};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad key create ORGANISATION NAME
@@ -15,12 +16,16 @@
     let action = required(&mut arguments, "create or withdraw")?;
     let organisation = required(&mut arguments, "ORGANISATION")?;
     let name = required(&mut arguments, "NAME")?;
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     let path = format!("organisations/{organisation}/keys/{name}");
     let is_new = match action.as_str() {
         "create" => true,
         "withdraw" => false,
-        _ => return Err(CmdError::usage(format!("expected create or withdraw, not {action}"))),
+        _ => {
+            return Err(
+                UsageError::WrongWord { expected: "create or withdraw", given: action }.into()
+            );
+        }
     };
     let method = if is_new { Method::POST } else { Method::DELETE };
     let answer = Gateway::of(options)?.edit(method, &path).await?;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -26,6 +26,8 @@
 use serde_json::{Value, json};
 use smol_str::{SmolStr, ToSmolStr};
 
+use crate::usage_error::UsageError;
+
 pub use cmd_error::CmdError;
 pub use gateway::{Gateway, VersionedText};
 pub use options::{Credential, Options};
@@ -85,7 +87,7 @@
             print!("{USAGE}");
             return Ok(());
         }
-        return Err(CmdError::usage("name a command"));
+        return Err(UsageError::NoCommand.into());
     };
     if wants_help {
         print!("{}", usage_of(&command)?);
@@ -125,30 +127,21 @@
 }
 
 fn unknown_command(command: &str) -> CmdError {
-    CmdError::usage(format!("there is no command {command}"))
+    UsageError::UnknownCommand { command: command.into() }.into()
 }
 
 /// The next argument, which the usage text calls `name`.
-fn required(arguments: &mut Arguments, name: &str) -> Result<SmolStr, CmdError> {
+fn required(arguments: &mut Arguments, name: &'static str) -> Result<SmolStr, CmdError> {
     let argument: Option<String> = arguments.opt_free_from_str()?;
     match argument {
-        None => Err(CmdError::usage(format!("{name} is missing"))),
+        None => Err(UsageError::Missing { name }.into()),
         Some(option) if option.starts_with('-') => {
-            Err(CmdError::usage(format!("there is no option {option}")))
+            Err(UsageError::UnknownOption { option: option.into() }.into())
         }
         Some(argument) => Ok(argument.into()),
     }
 }
 
-fn no_more(arguments: Arguments) -> Result<(), CmdError> {
-    match arguments.finish().first() {
-        None => Ok(()),
-        Some(extra) => {
-            Err(CmdError::usage(format!("unexpected argument {}", extra.to_string_lossy())))
-        }
-    }
-}
-
 fn read_file(path: &str) -> Result<String, CmdError> {
     std::fs::read_to_string(path)
         .map_err(|source| CmdError::File { path: path.to_smolstr(), source })
--- a/src/cmd/options.rs
+++ b/src/cmd/options.rs
@@ -4,6 +4,7 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::cmd::CmdError;
+use crate::usage_error::UsageError;
 
 /// Options that all commands share.
 #[derive(Debug)]
@@ -35,22 +36,18 @@
 
     /// Address of the instance to ask, as HOST:PORT.
     pub(super) fn gateway(&self) -> Result<SmolStr, CmdError> {
-        let missing = "name an instance with --gateway ADDRESS, such as --gateway 127.0.0.1:9131";
-        let address = self.gateway.as_ref().ok_or_else(|| CmdError::usage(missing))?;
+        let address = self.gateway.clone().ok_or(UsageError::NoGateway)?;
         if address.contains('/') || !address.contains(':') {
-            let problem = format!("{address} is no address; expected HOST:PORT without a scheme");
-            return Err(CmdError::usage(problem));
+            return Err(UsageError::NoAddress { address }.into());
         }
-        Ok(address.clone())
+        Ok(address)
     }
 
     pub(super) fn credential(&self) -> Result<Credential, CmdError> {
         let text = match &self.credential_file {
             Some(path) => std::fs::read_to_string(path)
                 .map_err(|source| CmdError::File { path: path.display().to_smolstr(), source })?,
-            None => std::env::var("ALMONDROAD_CREDENTIAL").map_err(|_| {
-                CmdError::usage("set ALMONDROAD_CREDENTIAL or give --credential-file FILE")
-            })?,
+            None => std::env::var("ALMONDROAD_CREDENTIAL").map_err(|_| UsageError::NoCredential)?,
         };
         Ok(Credential(text.trim().to_owned()))
     }
--- a/src/cmd/put.rs
+++ b/src/cmd/put.rs
@@ -1,6 +1,7 @@
 use pico_args::Arguments;
 
-use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, read_file, required};
+use crate::cmd::{CmdError, Gateway, Options, print_version, read_file, required};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad put [--base VERSION] SECTION FILE
@@ -13,7 +14,7 @@
     let base: Option<u64> = arguments.opt_value_from_str("--base")?;
     let section = required(&mut arguments, "SECTION")?;
     let path = required(&mut arguments, "FILE")?;
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     let text = read_file(&path)?;
     let gateway = Gateway::of(options)?;
     let base = match base {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,9 +5,10 @@
 
 use crate::cmd::fleet_status::{EndpointEntry, FleetStatus, InstanceEntry};
 use crate::cmd::table::{print_text, render_table};
-use crate::cmd::{CmdError, Gateway, Options, no_more};
+use crate::cmd::{CmdError, Gateway, Options};
 use crate::config::{Document, Endpoint, EngineEndpoint, ServiceState, check_document};
 use crate::units::ZoneId;
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad status
@@ -19,7 +20,7 @@
 ";
 
 pub(super) async fn run(arguments: Arguments, options: &Options) -> Result<(), CmdError> {
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     let gateway = Gateway::of(options)?;
     if options.is_json {
         print_text(&format!("{}\n", gateway.get_json("status").await?));
--- a/src/cmd/wait.rs
+++ b/src/cmd/wait.rs
@@ -4,7 +4,8 @@
 use serde_json::json;
 
 use crate::cmd::fleet_status::FleetStatus;
-use crate::cmd::{CmdError, Gateway, Options, no_more};
+use crate::cmd::{CmdError, Gateway, Options};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad wait [--timeout SECONDS] VERSION
@@ -18,11 +19,9 @@
 
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let timeout_s: Option<u64> = arguments.opt_value_from_str("--timeout")?;
-    let wanted: Option<u64> = arguments.opt_free_from_str().map_err(|_| {
-        CmdError::usage("VERSION must be a number, as `almondroad history` lists them")
-    })?;
-    let wanted = wanted.ok_or_else(|| CmdError::usage("VERSION is missing"))?;
-    no_more(arguments)?;
+    let wanted: Option<u64> = arguments.opt_free_from_str().map_err(|_| UsageError::NoVersion)?;
+    let wanted = wanted.ok_or(UsageError::Missing { name: "VERSION" })?;
+    UsageError::check_empty(arguments)?;
     let deadline = Instant::now() + Duration::from_secs(timeout_s.unwrap_or(DEFAULT_TIMEOUT_S));
     let gateway = Gateway::of(options)?;
     loop {
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -1,7 +1,8 @@
 use hyper::Method;
 use pico_args::Arguments;
 
-use crate::cmd::{CmdError, Gateway, Options, no_more, print_version, required};
+use crate::cmd::{CmdError, Gateway, Options, print_version, required};
+use crate::usage_error::UsageError;
 
 pub(super) const USAGE: &str = "\
 usage: almondroad zone out ZONE
@@ -14,9 +15,9 @@
 pub(super) async fn run(mut arguments: Arguments, options: &Options) -> Result<(), CmdError> {
     let action = required(&mut arguments, "in or out")?;
     let zone = required(&mut arguments, "ZONE")?;
-    no_more(arguments)?;
+    UsageError::check_empty(arguments)?;
     if !["in", "out"].contains(&action.as_str()) {
-        return Err(CmdError::usage(format!("expected in or out, not {action}")));
+        return Err(UsageError::WrongWord { expected: "in or out", given: action }.into());
     }
     let path = format!("zones/{zone}/{action}");
     print_version(&Gateway::of(options)?.edit(Method::POST, &path).await?, options);
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,50 @@
+use std::process::ExitCode;
+
+use derive_more::{Display, Error, From};
+
+use crate::bench::BenchError;
+use crate::cmd::CmdError;
+use crate::gateway::GatewayError;
+use crate::settings::SettingsError;
+use crate::standin::StandinError;
+use crate::usage_error::UsageError;
+
+/// Why a program ended before its work was done.
+#[derive(Debug, Display, Error, From)]
+#[display("{_0}")]
+pub enum Error {
+    Usage(UsageError),
+    Settings(SettingsError),
+    Gateway(GatewayError),
+    Standin(StandinError),
+    Cmd(CmdError),
+    Bench(BenchError),
+}
+
+impl Error {
+    /// 2 for the command line and the settings, 1 for other failures. The operators' client has
+    /// more.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Error::Usage(_) | Error::Settings(_) | Error::Bench(BenchError::Usage(_)) => 2,
+            Error::Cmd(error) => error.exit_code(),
+            Error::Gateway(_) | Error::Standin(_) | Error::Bench(_) => 1,
+        }
+    }
+
+    /// Prints the error of a program that failed. Usage errors are followed by the usage text.
+    pub fn exit(program: &str, usage: &str, ended: Result<(), Error>) -> ExitCode {
+        let Err(error) = ended else { return ExitCode::SUCCESS };
+        match &error {
+            Error::Usage(_) => eprintln!("{program}: {error}\n\n{usage}"),
+            _ => eprintln!("{program}: {error}"),
+        }
+        ExitCode::from(error.exit_code())
+    }
+}
+
+impl From<pico_args::Error> for Error {
+    fn from(error: pico_args::Error) -> Error {
+        Error::Usage(error.into())
+    }
+}
--- a/src/gateway/command.rs
+++ b/src/gateway/command.rs
@@ -4,11 +4,12 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use derive_more::{Display, Error, From};
 use pico_args::Arguments;
 
-use crate::gateway::{GatewayError, run_process};
-use crate::settings::{GatewaySettings, SettingsError, load_settings};
+use crate::error::Error;
+use crate::gateway::run_process;
+use crate::settings::{GatewaySettings, load_settings};
+use crate::usage_error::UsageError;
 
 const USAGE: &str = "\
 Run an entry instance.
@@ -27,31 +28,12 @@
 Exit codes: 0 stopped as planned, 1 failed, 2 usage or settings.
 ";
 
-/// An error that ends the program.
-#[derive(Debug, Display, Error, From)]
-enum CommandError {
-    #[display("{_0}\n\n{USAGE}")]
-    Usage(pico_args::Error),
-    #[display("unknown argument {}\n\n{USAGE}", argument.display())]
-    #[from(ignore)]
-    Unexpected { argument: OsString },
-    #[display("{_0}")]
-    Settings(SettingsError),
-    #[display("{_0}")]
-    Gateway(GatewayError),
-}
-
 /// Runs the program with its arguments, without the program's name.
 pub fn run_gateway(arguments: Vec<OsString>) -> ExitCode {
-    let Err(error) = run(Arguments::from_vec(arguments)) else { return ExitCode::SUCCESS };
-    eprintln!("almondroad-gateway: {error}");
-    match error {
-        CommandError::Gateway(_) => ExitCode::FAILURE,
-        _ => ExitCode::from(2),
-    }
+    Error::exit("almondroad-gateway", USAGE, run(Arguments::from_vec(arguments)))
 }
 
-fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+fn run(mut arguments: Arguments) -> Result<(), Error> {
     if arguments.contains(["-h", "--help"]) {
         print!("{USAGE}");
         return Ok(());
@@ -64,9 +46,7 @@
     let path = arguments.value_from_os_str("--settings", |path| {
         Ok::<_, std::convert::Infallible>(PathBuf::from(path))
     })?;
-    if let Some(argument) = arguments.finish().into_iter().next() {
-        return Err(CommandError::Unexpected { argument });
-    }
+    UsageError::check_empty(arguments)?;
     let settings: GatewaySettings = load_settings(&path)?;
     if is_check {
         println!("{}: ok", path.display());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cmd;
 pub mod config;
 pub mod engine;
+pub mod error;
 pub mod gateway;
 pub mod hash;
 pub mod http;
@@ -21,6 +22,7 @@
 pub mod standin;
 pub mod suspect;
 pub mod units;
+pub mod usage_error;
 
 #[rustfmt::skip]
 #[allow(clippy::all, missing_docs)]
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod platform;
 mod secrets;
+mod standin_error;
 mod weights;
 
 pub use command::run_standin;
@@ -23,4 +24,5 @@
 pub use plain::{Effects, PlainAnswer, PlainFaults, PlainSettings, PlainStats, Side, start_plain};
 pub use platform::{PlatformFaults, PlatformSettings, PlatformStats, RowCounts, start_platform};
 pub use secrets::SecretStats;
+pub use standin_error::StandinError;
 pub use weights::{WeightSettings, WeightStats, start_weights};
--- /dev/null
+++ b/src/usage_error.rs
@@ -0,0 +1,57 @@
+use std::ffi::OsString;
+
+use derive_more::{Display, Error, From};
+use smol_str::SmolStr;
+
+/// A wrong use of a command line.
+#[derive(Debug, Display, Error, From)]
+pub enum UsageError {
+    #[display("{_0}")]
+    Arguments(pico_args::Error),
+    #[display("name a command")]
+    NoCommand,
+    #[display("there is no command {command}")]
+    #[from(ignore)]
+    UnknownCommand { command: SmolStr },
+    #[display("there is no option {option}")]
+    #[from(ignore)]
+    UnknownOption { option: SmolStr },
+    #[display("unexpected argument {}", argument.display())]
+    #[from(ignore)]
+    Unexpected { argument: OsString },
+    #[display("{name} is missing")]
+    #[from(ignore)]
+    Missing { name: &'static str },
+    #[display("expected {expected}, not {given}")]
+    #[from(ignore)]
+    WrongWord { expected: &'static str, given: SmolStr },
+    #[display("VERSION must be a number, as `almondroad history` lists them")]
+    NoVersion,
+    #[display("name an instance with --gateway ADDRESS, such as --gateway 127.0.0.1:9131")]
+    NoGateway,
+    #[display("{address} is no address; expected HOST:PORT without a scheme")]
+    #[from(ignore)]
+    NoAddress { address: SmolStr },
+    #[display("{path} is not a valid path or address")]
+    #[from(ignore)]
+    NoPath { path: SmolStr },
+    #[display("set ALMONDROAD_CREDENTIAL or give --credential-file FILE")]
+    NoCredential,
+    #[display("the credential holds characters of no credential")]
+    MalformedCredential,
+    #[display("set EDITOR to the program that edits the text, such as EDITOR=vi")]
+    NoEditor,
+    #[display("no experiment is named {name}; `almondroad-bench list` names them")]
+    #[from(ignore)]
+    UnknownExperiment { name: SmolStr },
+}
+
+impl UsageError {
+    /// Fails if arguments are left that nothing has asked for.
+    pub fn check_empty(rest: pico_args::Arguments) -> Result<(), UsageError> {
+        match rest.finish().into_iter().next() {
+            None => Ok(()),
+            Some(argument) => Err(UsageError::Unexpected { argument }),
+        }
+    }
+}
