Delete expired rows of at-most-once calls

Cause: rows `once/<organisation>/<key>` are to be kept for 7 days, and nothing deleted them afterwards.

Change: the holder of the organisation's budget shard goes through the rows in batches of 4 a second for each shard, at most 64 rows read and 64 deleted a second for all 16 shards. A row is deleted 8 days after its claim, because the claim carries the wall clock of another instance; a forward step of the holder's own wall clock after its start has no effect. Each deletion names the revision that was read.

Bodies over 32 KiB stay in the object store, which has no deletion.

--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -18,7 +18,7 @@
 };
 use crate::http::{Transport, serve_with};
 use crate::lease::{LeasesBuilder, StateSender};
-use crate::once::ServiceLatency;
+use crate::once::{ServiceLatency, delete_expired};
 use crate::peer::{Member, Membership, Peers, accept_peers};
 use crate::platform::{HttpPlatform, InstanceList, ListedInstance, ListedState};
 use crate::pool::Pools;
@@ -172,6 +172,7 @@
     });
     tasks.spawn_local(report_progress(Rc::clone(node)));
     tasks.spawn_local(keep_claims(Rc::clone(node)));
+    tasks.spawn_local(delete_expired(Rc::clone(node)));
     tasks.spawn_local(keep_metrics(Rc::clone(node)));
     tasks
 }
--- a/src/once/claim_row.rs
+++ b/src/once/claim_row.rs
@@ -38,8 +38,12 @@
 }
 
 impl ClaimRow {
+    /// Prefix of the keys of all rows.
+    pub const TABLE_PREFIX: &str = "once/";
+
     /// Key of the row. The caller's text is hashed, since it may be long or contain slashes.
     pub fn table_key(organisation: &OrganisationId, idempotency_key: &str) -> String {
-        format!("once/{organisation}/{}", ContentHash::of_bytes(idempotency_key.as_bytes()))
+        let hash = ContentHash::of_bytes(idempotency_key.as_bytes());
+        format!("{}{organisation}/{hash}", ClaimRow::TABLE_PREFIX)
     }
 }
--- /dev/null
+++ b/src/once/expiry_sweep.rs
@@ -0,0 +1,93 @@
+use crate::gateway::budget_shard;
+use crate::once::ClaimRow;
+use crate::platform::{CommitOutcome, PlatformError, Table, Transaction};
+use crate::units::{OrganisationId, ShardId};
+
+/// Rows are kept for 7 days after the claim. The day on top covers the difference between the wall
+/// clocks of the instance that claimed and of the one that deletes.
+const KEPT_S: u64 = 7 * 86_400;
+const CLOCK_MARGIN_S: u64 = 86_400;
+
+/// Goes through the rows of one shard's organisations in small batches and deletes those that have
+/// expired.
+#[derive(Debug)]
+pub struct ExpirySweep {
+    shard: ShardId,
+    /// Key of the last row that was looked at.
+    after: String,
+}
+
+/// Where a sweep is after a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SweepProgress {
+    Deleted(usize),
+    /// The last row has been passed; the next batch begins at the first.
+    AtEnd,
+}
+
+impl ExpirySweep {
+    /// Rows read, and at most deleted, in a batch.
+    pub const BATCH: usize = 4;
+
+    /// A sweep whose first batch comes after the given key.
+    pub fn new(shard: ShardId, after: impl Into<String>) -> ExpirySweep {
+        ExpirySweep { shard, after: after.into() }
+    }
+
+    /// Looks at the next rows. After an error the same rows come again. A deletion that takes
+    /// effect late is harmless, because it names the revision of a row that had expired.
+    pub async fn step<T: Table>(
+        &mut self,
+        table: &T,
+        now_unix_s: u64,
+        is_holder: impl Fn() -> bool,
+    ) -> Result<SweepProgress, PlatformError> {
+        let rows = table.scan(ClaimRow::TABLE_PREFIX, &self.after, Self::BATCH).await?;
+        let Some((last, _)) = rows.last() else {
+            self.after.clear();
+            return Ok(SweepProgress::AtEnd);
+        };
+        let mut next = last.clone();
+        let mut deletions = Transaction::default();
+        for (key, row) in &rows {
+            let organisation = organisation_of(key);
+            if budget_shard(&organisation) != self.shard {
+                next = after_organisation(&organisation);
+                break;
+            }
+            match serde_json::from_str::<ClaimRow>(&row.value) {
+                Ok(claim) if is_expired(&claim, now_unix_s) => {
+                    deletions = deletions.require(key, Some(row.revision)).delete(key);
+                }
+                Ok(_) => {}
+                Err(error) => log::warn!(target: "once", "row {key} not understood: {error}"),
+            }
+        }
+        let mut deleted = 0;
+        if !deletions.writes.is_empty() && is_holder() {
+            match table.commit(&deletions).await? {
+                CommitOutcome::Applied { .. } => deleted = deletions.writes.len(),
+                CommitOutcome::Conflict { key } => {
+                    log::debug!(target: "once", "row {key} changed, left to the next sweep");
+                }
+            }
+        }
+        self.after = next;
+        Ok(SweepProgress::Deleted(deleted))
+    }
+}
+
+fn is_expired(claim: &ClaimRow, now_unix_s: u64) -> bool {
+    claim.claimed_at_unix_s.saturating_add(KEPT_S + CLOCK_MARGIN_S) <= now_unix_s
+}
+
+fn organisation_of(key: &str) -> OrganisationId {
+    let rest = key.strip_prefix(ClaimRow::TABLE_PREFIX).unwrap_or(key);
+    OrganisationId::new(rest.rsplit_once('/').map_or(rest, |(organisation, _)| organisation))
+}
+
+/// A key that sorts after all rows of an organisation and before those of all later ones: `0` is
+/// the character after `/`.
+fn after_organisation(organisation: &OrganisationId) -> String {
+    format!("{}{organisation}0", ClaimRow::TABLE_PREFIX)
+}
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -2,6 +2,8 @@
 
 mod at_most_once;
 mod claim_row;
+mod delete_expired;
+mod expiry_sweep;
 mod forward;
 mod idempotent;
 mod latency;
@@ -9,6 +11,8 @@
 
 pub use at_most_once::call_at_most_once;
 pub use claim_row::{ClaimRow, ClaimState, StoredAnswer, StoredBody};
+pub use delete_expired::delete_expired;
+pub use expiry_sweep::{ExpirySweep, SweepProgress};
 pub use forward::forward;
 pub use idempotent::call_idempotent;
 pub use latency::ServiceLatency;
