Test the death of a holder of request ids with the instance that answered

Cause: `repeat` kills the holder of the ids only. What holds when the instance that answers, or answered, dies with it was neither tested nor stated.

Change: the experiment `repeat-both` sends half of the requests through one instance and kills it together with the holder, then sends all requests again through the three others. `repeat` and `repeat-both` now end with one more repeat of every request.

Conclusion: an id is lost only with both instances. A copy of completed ids at a third instance would close this; not tried.

--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -26,6 +26,7 @@
 mod zone;
 
 use self::partition::Cut;
+use self::repeat::Dying;
 use self::store_outage::Victim;
 use crate::bench::plot::plot;
 use crate::bench::{BenchError, CallRecord, FleetBuilder, Options, Report, Stream};
@@ -47,6 +48,7 @@
     ("partition-platform", "one gateway is cut off from the platform"),
     ("withdraw", "keys are withdrawn while their callers send over open connections"),
     ("repeat", "requests are sent again while the holder of their ids dies"),
+    ("repeat-both", "the same while the instance that answered them dies too"),
     ("stop", "planned stops of all gateways in turn under load"),
     ("edits", "operators edit the document at the same time through different gateways"),
     ("poison", "a prompt that crashes engines, sent again and again"),
@@ -93,7 +95,8 @@
         "partition-peers" => partition::run(options, Cut::Peers, report).await?,
         "partition-platform" => partition::run(options, Cut::Platform, report).await?,
         "withdraw" => withdraw::run(options, report).await?,
-        "repeat" => repeat::run(options, report).await?,
+        "repeat" => repeat::run(options, Dying::Holder, report).await?,
+        "repeat-both" => repeat::run(options, Dying::HolderAndAnswerer, report).await?,
         "stop" => stop::run(options, report).await?,
         "edits" => edits::run(options, report).await?,
         "poison" => poison::run(options, report, false).await?,
--- a/src/bench/experiments/repeat.rs
+++ b/src/bench/experiments/repeat.rs
@@ -1,4 +1,5 @@
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,28 +25,54 @@
 const SHORTEST_REPEATS: Duration = Duration::from_secs(8);
 const PAUSE_BETWEEN_REPEATS: Duration = Duration::from_millis(20);
 
+/// Which gateways die at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Dying {
+    Holder,
+    /// The holder and an instance that answers requests whose ids it holds.
+    HolderAndAnswerer,
+}
+
 /// Kills the holder of an organisation's request ids and sends its requests again through the
-/// other gateways.
-pub async fn run(options: &Options, report: &mut Report) -> Result<(), BenchError> {
+/// gateways that live on. No instance knows the ids that only the dead ones knew: their requests
+/// run again, once.
+pub async fn run(options: &Options, dying: Dying, report: &mut Report) -> Result<(), BenchError> {
     let fleet = super::small_fleet(options).start().await?;
     let mut random = StdRng::seed_from_u64(options.seed);
     let organisation = options.deployment.organisations()[1];
     let holder = find_budget_holder(&fleet, organisation).await;
-    let survivors = fleet.addresses_without(holder);
+    let mut survivors = fleet.addresses_without(holder);
+    let answerers = match dying {
+        Dying::Holder => Vec::new(),
+        Dying::HolderAndAnswerer => vec![survivors.remove(0)],
+    };
+    let lost_count = |count| if answerers.is_empty() { 0 } else { count };
     let caller = Caller::default();
     let short = prompts(organisation, "short", COMPLETED, SHORT_TOKENS, &mut random);
     let long = prompts(organisation, "long", RUNNING, LONG_TOKENS, &mut random);
+    let lost_short = lost_count(COMPLETED);
+    let lost_short = prompts(organisation, "lost-short", lost_short, SHORT_TOKENS, &mut random);
+    let lost_long = lost_count(RUNNING);
+    let lost_long = prompts(organisation, "lost-long", lost_long, LONG_TOKENS, &mut random);
     let mut records = send_all(&caller, &survivors, &short).await;
-    let originals = async {
-        tokio::join!(send_all(&caller, &survivors, &long), async {
-            tokio::time::sleep(RUNNING_FOR).await;
-            fleet.gateways[holder].kill();
-            let prompts: Vec<Prompt> = short.iter().chain(&long).cloned().collect();
-            repeat(&caller, &survivors, &prompts, options, &mut random).await
-        })
+    let mut lost = send_all(&caller, &answerers, &lost_short).await;
+    let repeats = async {
+        tokio::time::sleep(RUNNING_FOR).await;
+        let is_dying = |address| !survivors.contains(address);
+        fleet.gateways.iter().filter(|g| is_dying(g.address())).for_each(|g| g.kill());
+        let prompts = [&short, &long, &lost_short, &lost_long].into_iter().flatten();
+        let prompts: Vec<Prompt> = prompts.cloned().collect();
+        let mut repeats = repeat(&caller, &survivors, &prompts, options, &mut random).await;
+        repeats.extend(send_all(&caller, &survivors, &prompts).await);
+        repeats
     };
-    let (running, repeats) = originals.await;
+    let (running, lost_running, repeats) = tokio::join!(
+        send_all(&caller, &survivors, &long),
+        send_all(&caller, &answerers, &lost_long),
+        repeats
+    );
     records.extend(running);
+    lost.extend(lost_running);
     report.progress(&describe_endings(&count_endings(&records)));
     report.progress(&format!("repeats: {}", describe_endings(&count_endings(&repeats))));
     let complete = records.iter().filter(|record| record.is_complete()).count();
@@ -54,6 +81,18 @@
     let recognised =
         repeats.iter().filter(|r| r.is_refused_with("duplicate_request")).count() as f64;
     report.bounded("repeats recognised", recognised, "requests", Bound::AtLeast(1.0));
+    if dying == Dying::HolderAndAnswerer {
+        report.progress(&format!("lost: {}", describe_endings(&count_endings(&lost))));
+        let lost_ids: BTreeSet<_> = lost.iter().map(|record| record.request_id.clone()).collect();
+        let answered = repeats.iter().filter(|record| record.is_complete());
+        let answered: BTreeSet<_> = answered.map(|record| record.request_id.clone()).collect();
+        let answered = answered.intersection(&lost_ids).count() as f64;
+        let all = Bound::AtLeast((COMPLETED + RUNNING) as f64);
+        report.bounded("ids of dead instances answered again", answered, "requests", all);
+    }
+    // The first tries at the dead instance do not count as answers under the same id.
+    let without_id = |record| CallRecord { request_id: None, ..record };
+    records.extend(lost.into_iter().map(without_id));
     records.extend(repeats);
     check_invariants(&fleet, &records, report).await
 }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -37,6 +37,13 @@
     run("repeat");
 }
 
+/// Guards against ids that stay claimed by dead instances, run more than once more, or are no
+/// longer recognised although the instance that answered them lives.
+#[test]
+fn ids_of_an_answering_instance_that_dies_with_the_holder_run_once_more() {
+    run("repeat-both");
+}
+
 /// Guards against requests that hang on, or are cut by, connections that have gone silent.
 #[test]
 fn silent_connections_are_replaced() {
