Tell the progress of an experiment with JSON output too

Change: progress goes to standard error in both modes; standard output has only the JSON lines. The tests show standard error when they fail.

--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -82,11 +82,10 @@
         self.metrics.push(metric);
     }
 
-    /// Tells people what goes on; silent for programs.
+    /// Tells on standard error what goes on. Also with JSON on standard output, since a missed
+    /// bound that is rare can be explained only by the run that missed it.
     pub fn progress(&self, text: &str) {
-        if !self.is_json {
-            eprintln!("{}: {text}", self.experiment);
-        }
+        eprintln!("{}: {text}", self.experiment);
     }
 
     pub fn metrics(&self) -> &[Metric] {
