Return unused tokens without repeating draws

Cause: a draw that returns expiring tokens fell due with 700 ms left of a grant, while only grants with less than 500 ms left are given back. With the life of 1 s an instance that held unused tokens therefore drew without pause for 200 ms of each grant, and the draws held up the requests of all instances.

Change: the draw falls due with 350 ms left, which an assertion at compile time keeps below the 500 ms from which grants are given back.

Test: `unused_tokens_cause_few_draws` (tests/budget.rs) counts 516 draws in 2 s without requests before the change and passes (at most 20) after it. The 11 tests of tests/budget.rs pass.

Conclusion: draws without pause were the cause.

--- a/src/budget/allowance.rs
+++ b/src/budget/allowance.rs
@@ -53,8 +53,6 @@
     /// Spent tokens are reported after this time at the latest, since the bucket does not refill
     /// while they count as outstanding.
     const REPORT_MS: u64 = 200;
-    /// Grants with less time left cause a draw that gives them back.
-    const LAST_RETURN_MS: u64 = 700;
     const IDLE_MS: u64 = 5_000;
     /// An unanswered draw is given up after this time without use of the organisation.
     const ABANDON_MS: u64 = 30_000;
@@ -175,7 +173,7 @@
         let is_low = self.grants.left().0 < ahead.0 / 2;
         let ahead = is_low.then_some(self.next_ahead_at);
         let expiring = self.grants.first_returnable().map(|deadline| {
-            if self.is_returning { now } else { before(deadline, Allowance::LAST_RETURN_MS) }
+            if self.is_returning { now } else { before(deadline, LocalGrants::LAST_RETURN_MS) }
         });
         let expired = self.grants.first_deadline();
         let idle = self.used_at.plus_ms(Allowance::IDLE_MS);
--- a/src/budget/local_grants.rs
+++ b/src/budget/local_grants.rs
@@ -19,9 +19,14 @@
     pub left: Tokens,
 }
 
+const _: () = assert!(LocalGrants::LAST_RETURN_MS < LocalGrants::RETURN_MS);
+
 impl LocalGrants {
     /// Grants with less time left are given back with the next draw.
     const RETURN_MS: u64 = 500;
+    /// Grants with less time left cause a draw that gives them back. A draw that is caused before
+    /// it may give back would be repeated without pause.
+    pub const LAST_RETURN_MS: u64 = 350;
 
     pub fn left(&self) -> Tokens {
         self.grants.iter().map(|grant| grant.left).sum()
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -309,6 +309,23 @@
     });
 }
 
+/// Guards against draws without pause while an instance holds tokens that it does not use.
+#[test]
+fn unused_tokens_cause_few_draws() {
+    run(async {
+        let world = World::start(29, rate(10_000, 10_000)).await;
+        let instance = world.instance(0);
+        for _ in 0..40 {
+            world.request(&instance, 100, 100, 0).await.expect("within rate");
+            sleep(Duration::from_millis(20)).await;
+        }
+        let before = world.draws.get();
+        sleep(Duration::from_secs(2)).await;
+        let draws = world.draws.get() - before;
+        assert!(draws <= 20, "{draws} draws in 2 s without requests");
+    });
+}
+
 /// Guards against small requests that starve a large one of another instance.
 #[test]
 fn a_large_request_is_not_starved() {
