Share unchanged sections between versions of the document

Cause: a change cloned all sections of the old version, the one about to be read anew included, copied the text twice, built the index of keys again and copied the rates twice more, whichever section it changed.

Ruled out: the keys of organisations, which are compact already.

Change: versions share the large sections (organisations, rates, endpoints) by reference count; the index of keys is shared while the organisations are, and the rates are handed on only when they changed. The spliced text is kept as it was built.

What loading leaves behind is another cause.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -114,7 +114,7 @@
 
     fn check_keys(&mut self) {
         let mut seen: HashMap<KeyHash, SmolStr> = HashMap::new();
-        for (id, organisation) in &self.document.organisations {
+        for (id, organisation) in self.document.organisations.iter() {
             let at = [Member("organisations"), Member(id.as_str())];
             self.require_positive(&at, &[("weight", organisation.weight.into())]);
             for (name, key) in organisation.keys.iter() {
@@ -132,7 +132,7 @@
 
     fn check_rates(&mut self) {
         let largest = self.document.models.iter().max_by_key(|(_, m)| m.max_request_tokens());
-        for (id, rate) in &self.document.rates {
+        for (id, rate) in self.document.rates.iter() {
             let at = [Member("rates"), Member(id.as_str())];
             // An edit replaces one section, so a new organisation's rate has to come first.
             let is_weight_store = id.as_str() == WEIGHT_STORE;
@@ -175,7 +175,7 @@
     }
 
     fn check_endpoints(&mut self) {
-        for (id, endpoint) in &self.document.endpoints {
+        for (id, endpoint) in self.document.endpoints.iter() {
             let at = [Member("endpoints"), Member(id.as_str())];
             let zone = match endpoint {
                 Endpoint::Engine(engine) => {
@@ -210,7 +210,7 @@
     fn check_pools(&mut self) {
         type Slice<'a> = (&'a RegionId, &'a ModelId, u32);
         let mut pools: BTreeMap<Slice, (&str, BTreeSet<SmolStr>)> = BTreeMap::new();
-        for (id, endpoint) in &self.document.endpoints {
+        for (id, endpoint) in self.document.endpoints.iter() {
             let Endpoint::Engine(engine) = endpoint else { continue };
             let Some(zone) = self.document.zones.get(&engine.zone) else { continue };
             let slice = (&zone.region, &engine.model, engine.slice);
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -7,16 +8,17 @@
 use crate::jsonc::{JsoncError, read_jsonc};
 use crate::units::{EndpointId, ModelId, OrganisationId, ZoneId};
 
-/// The whole document. Each member is a section that a team owns.
+/// The whole document. Each member is a section that a team owns. Versions share the large
+/// sections that did not change.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     pub teams: BTreeMap<SmolStr, Team>,
-    pub organisations: BTreeMap<OrganisationId, Organisation>,
-    pub rates: BTreeMap<OrganisationId, Rate>,
+    pub organisations: Rc<BTreeMap<OrganisationId, Organisation>>,
+    pub rates: Rc<BTreeMap<OrganisationId, Rate>>,
     pub zones: BTreeMap<ZoneId, Zone>,
     pub models: BTreeMap<ModelId, Model>,
-    pub endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub endpoints: Rc<BTreeMap<EndpointId, Endpoint>>,
     pub routes: Vec<Route>,
 }
 
--- a/src/config/document_text.rs
+++ b/src/config/document_text.rs
@@ -14,7 +14,7 @@
 /// The document's text with the byte range of each section's value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DocumentText {
-    text: Rc<str>,
+    text: Rc<String>,
     sections: Vec<(SmolStr, Range<usize>)>,
     content_hash: ContentHash,
 }
@@ -22,13 +22,17 @@
 impl DocumentText {
     pub fn parse(text: &str) -> Result<DocumentText, JsoncError> {
         let content_hash = ContentHash::of_bytes(text.as_bytes());
-        Ok(DocumentText { sections: member_ranges(text)?, text: text.into(), content_hash })
+        Ok(DocumentText {
+            sections: member_ranges(text)?,
+            text: Rc::new(text.to_owned()),
+            content_hash,
+        })
     }
 
     /// The text before any document has been accepted.
     pub(super) fn empty() -> DocumentText {
         DocumentText {
-            text: "".into(),
+            text: Rc::default(),
             sections: Vec::new(),
             content_hash: ContentHash::of_bytes(b""),
         }
@@ -80,7 +84,7 @@
             return Err(wrong());
         }
         let sections = self.moved_sections(&change.section, &splice).ok_or_else(wrong)?;
-        Ok(DocumentText { text: text.into(), sections, content_hash })
+        Ok(DocumentText { text: Rc::new(text), sections, content_hash })
     }
 
     /// The sections' ranges after a splice inside one of them.
--- a/src/config/in_force.rs
+++ b/src/config/in_force.rs
@@ -34,10 +34,7 @@
         text: DocumentText,
         witnesses: Option<Rc<[Witness]>>,
     ) -> InForce {
-        let keys = document.organisations.iter().flat_map(|(id, organisation)| {
-            organisation.keys.iter().map(|(_, key)| (key.sha256, id.clone()))
-        });
-        let organisations = Rc::new(keys.collect());
+        let organisations = key_index(&document);
         InForce { version, document: Rc::new(document), text, witnesses, organisations }
     }
 
@@ -65,7 +62,18 @@
         let section = text.section(&change.section).unwrap_or_default();
         let document =
             self.document.with_section(&change.section, section).map_err(ConfigError::invalid)?;
-        Ok(InForce::new(change.version, document, text, self.witnesses.clone()))
+        let organisations = if Rc::ptr_eq(&document.organisations, &self.document.organisations) {
+            Rc::clone(&self.organisations)
+        } else {
+            key_index(&document)
+        };
+        Ok(InForce {
+            version: change.version,
+            document: Rc::new(document),
+            text,
+            witnesses: self.witnesses.clone(),
+            organisations,
+        })
     }
 
     pub fn content_hash(&self) -> ContentHash {
@@ -82,3 +90,10 @@
         InForce { version, witnesses: Some(witnesses), ..self.clone() }
     }
 }
+
+fn key_index(document: &Document) -> Rc<HashMap<KeyHash, OrganisationId>> {
+    let keys = document.organisations.iter().flat_map(|(id, organisation)| {
+        organisation.keys.iter().map(|(_, key)| (key.sha256, id.clone()))
+    });
+    Rc::new(keys.collect())
+}
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -45,11 +45,17 @@
 /// Puts each new version of the document in force in the owners.
 pub async fn follow_configuration(node: Rc<Node>, shards: watch::Sender<Vec<ShardId>>) {
     let mut versions = node.configuration.subscribe();
+    let mut rates = Rc::default();
     loop {
         let current = node.configuration.current();
         log::info!(target: "config", "version {} in force", current.version);
-        node.budgets.set_rates(&current.document.rates);
-        node.allowances.set_rates(&current.document.rates);
+        // Most changes leave the rates as they are, and copying those of a large fleet takes
+        // milliseconds.
+        if !Rc::ptr_eq(&rates, &current.document.rates) {
+            rates = Rc::clone(&current.document.rates);
+            node.budgets.set_rates(&rates);
+            node.allowances.set_rates(&rates);
+        }
         node.pools.set_document(Rc::clone(&current.document));
         let wanted = shards_of(&current.document);
         shards.send_if_modified(|known| {
--- a/src/pool/pool_state.rs
+++ b/src/pool/pool_state.rs
@@ -74,7 +74,7 @@
         };
         self.model = document.models.get(model).cloned();
         let mut old = std::mem::take(&mut self.endpoints);
-        for (id, endpoint) in &document.endpoints {
+        for (id, endpoint) in document.endpoints.iter() {
             let Endpoint::Engine(entry) = endpoint else { continue };
             let Some(zone) = document.zones.get(&entry.zone) else { continue };
             if entry.model != *model || entry.slice != *slice || zone.region != *region {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -26,7 +26,9 @@
 }
 
 fn want_role(document: &mut Document, id: &str, role: Role) {
-    let Some(Endpoint::Engine(entry)) = document.endpoints.get_mut(&EndpointId::new(id)) else {
+    let Some(Endpoint::Engine(entry)) =
+        Rc::make_mut(&mut document.endpoints).get_mut(&EndpointId::new(id))
+    else {
         panic!("no engine")
     };
     entry.role = role;
@@ -403,7 +405,7 @@
         owner.engine("p0f").is_dead.set(true);
         sleep_ms(20_000).await;
         assert_eq!(orders(&owner, "d0f"), []);
-        let entry = document.endpoints.get_mut(&EndpointId::new("p0f"));
+        let entry = Rc::make_mut(&mut document.endpoints).get_mut(&EndpointId::new("p0f"));
         let Some(Endpoint::Engine(entry)) = entry else { panic!("no engine") };
         entry.state = ServiceState::Out;
         owner.pools.set_document(Rc::new(document));
--- a/tests/pool/fakes.rs
+++ b/tests/pool/fakes.rs
@@ -198,8 +198,8 @@
     Document {
         zones: engines.iter().map(|engine| zone(engine.1)).collect(),
         models: [(ModelId::new("m"), model)].into(),
-        endpoints: engines.iter().map(endpoint).collect(),
-        organisations: weights.iter().map(organisation).collect(),
+        endpoints: Rc::new(engines.iter().map(endpoint).collect()),
+        organisations: Rc::new(weights.iter().map(organisation).collect()),
         ..Default::default()
     }
 }
