Return large blocks of memory when they are freed

Cause: of the memory of an instance with 11,000 organisations some 6 MB was free space in the heap. Loading needs several copies of the document's text of 2.3 MB for a moment. When glibc frees the first of them, it raises its threshold for separately mapped blocks to that size, and later copies leave holes in the heap.

Ruled out: keeping the text in pieces, which check, parser and store need in one.

Change: the instance sets the threshold to 256 KB when it starts, which also ends its adjustment.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The entry instance: puts the parts together and answers callers, peers and operators.
 
 mod addresses;
+mod allocator;
 mod command;
 mod engines;
 mod gateway_error;
