Read the instance list less often in large fleets

Cause: each instance reads the whole list every 5 s, by extrapolation 15 KB/s at 370 instances with 200 B for an entry.

Ruled out: periods above 12 s. Witnesses count as gone only while the last read of the list is less than 15 s old, and that limit is part of the argument for safety.

Change: the period is 40 ms for each entry, from 5 s to 12 s. Up to 125 instances it is 5 s as before.

Figure, computed: 370 entries of 200 B each 12 s are 6.2 KB/s instead of 14.8 KB/s. Test: `reads_of_the_list_stay_within_half_of_the_share` (tests/heartbeat_size.rs), which a fixed period of 5 s fails. No fleet of this size was run.

Conclusion: less than half the bytes from the platform at full size.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,5 +31,5 @@
 pub use node_peers::NodePeers;
 pub use peer_versions::PeerVersions;
 pub use process::run_process;
-pub use start::{RunningGateway, start};
+pub use start::{RunningGateway, list_period, start};
 pub use stop::stop;
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -29,6 +29,11 @@
 use crate::units::{Incarnation, Version};
 
 const LIST_PERIOD: Duration = Duration::from_secs(5);
+/// The list is read less often in a large fleet, since each read has all of it: an entry of 200 B
+/// each 40 ms makes 5 KB/s. Heartbeats tell of new members long before the list does.
+const LIST_PERIOD_PER_ENTRY: Duration = Duration::from_millis(40);
+/// Witnesses count as gone only while the last read of the list is less than 15 s old.
+const MAX_LIST_PERIOD: Duration = Duration::from_secs(12);
 const LIST_STARTUP_PERIOD: Duration = Duration::from_millis(250);
 const STARTUP_ROUNDS: u32 = 40;
 const BOOTSTRAP_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -199,20 +204,31 @@
 async fn follow_list(node: Rc<Node>) {
     let mut round = 0;
     let mut is_registered = false;
+    let mut entries = 0;
     loop {
         if !is_registered {
             is_registered = register(&node, ListedState::Live).await;
         }
         match node.platform.instances().await {
-            Ok(listed) => node.membership.read_list(&listed),
+            Ok(listed) => {
+                node.membership.read_list(&listed);
+                entries = listed.len();
+            }
             Err(error) => log::debug!(target: "peer", "instance list not read: {error}"),
         }
         round += 1;
-        let period = if round < STARTUP_ROUNDS { LIST_STARTUP_PERIOD } else { LIST_PERIOD };
+        let period =
+            if round < STARTUP_ROUNDS { LIST_STARTUP_PERIOD } else { list_period(entries) };
         tokio::time::sleep(period).await;
     }
 }
 
+/// Time between reads of a list with so many entries.
+pub fn list_period(entries: usize) -> Duration {
+    let for_entries = LIST_PERIOD_PER_ENTRY * u32::try_from(entries).unwrap_or(u32::MAX);
+    for_entries.clamp(LIST_PERIOD, MAX_LIST_PERIOD)
+}
+
 /// Returns whether the list took the entry.
 pub(super) async fn register(node: &Node, state: ListedState) -> bool {
     let own = node.membership.own();
--- a/tests/heartbeat_size.rs
+++ b/tests/heartbeat_size.rs
@@ -9,7 +9,7 @@
 
 use almondroad::clock::TokioClock;
 use almondroad::config::Confirmation;
-use almondroad::gateway::NodePeers;
+use almondroad::gateway::{NodePeers, list_period};
 use almondroad::lease::{Holding, Leases, LeasesBuilder};
 use almondroad::peer::Heartbeat;
 use almondroad::platform::HttpPlatform;
@@ -81,6 +81,20 @@
     }
 }
 
+/// Guards against reads of the instance list that grow with the fleet (15 KB/s at 370 instances
+/// with a fixed period of 5 s), and against ones so rare that witnesses never count as gone.
+#[test]
+fn reads_of_the_list_stay_within_half_of_the_share() {
+    const ENTRY_BYTES: usize = 200;
+    const CURRENT: Duration = Duration::from_secs(15);
+    for entries in [3, 9, 60, 125, 370] {
+        let period = list_period(entries);
+        let bytes = (entries * ENTRY_BYTES) as f64 / period.as_secs_f64();
+        assert!(bytes <= BYTES_PER_S as f64 / 2.0, "{bytes} B/s with {entries} entries");
+        assert!(period < CURRENT, "{period:?} with {entries} entries");
+    }
+}
+
 /// Guards against heartbeats that repeat the whole fleet: nine instances would send each other
 /// every member sixteen times a second, four times the limit of control traffic.
 #[tokio::test(start_paused = true)]
