--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The entry instance: puts the parts together and answers callers, peers and operators.
 
 mod addresses;
+mod allocator;
 mod command;
 mod engines;
 mod gateway_error;
@@ -30,5 +31,5 @@
 pub use node_peers::NodePeers;
 pub use peer_versions::PeerVersions;
 pub use process::run_process;
-pub use start::{RunningGateway, start};
+pub use start::{RunningGateway, list_period, start};
 pub use stop::stop;
