Wait for admission in the queues of all pools at once

Of the 56 requests whose first token took over 340 ms at the gateway, the mean was 1 ms for the claim, 1 ms for tokens, 545 ms for admission (311 ms of it in the last owner's queue), 51 ms for the prefill, 14 ms for the import of the KV cache and 23 ms for the first decode step. A request that found no free slot waited for 50 ms at each of the three slices, left each queue again, slept for 100 ms and then stayed in the queue of one slice although slots became free in others.

Ruled out, by the same stages: long prompts before short ones and transfers that wait for their link. Over all requests the p95 was 126 ms for the prefill with its wait, 26 ms for the import, 11 ms for the claim, 8 ms for tokens, and no request was told to start its prefill later.

Change: the first round asks each slice without a wait. If all are full, the request waits at once in the queues of all slices of a region and takes the first plan. The calls to the others end, and their owners are told that the attempt was cancelled, which frees a plan whose answer was not read.

The tests `caller` and `pool` pass.

Conclusion: what is left of the tail is the wait in the owners' queues while no decode slot of any slice is free.

--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -6,15 +6,16 @@
 use crate::engine::prefix_hashes;
 use crate::gateway::Node;
 use crate::pool::{Admission, AdmitAnswer};
+use crate::route::ask_pools::ask_pools;
 use crate::route::{Admitted, Holder, find_holder};
 use crate::serve::{Call, CallError, MAX_CRASHES, Produced};
 use crate::units::{AttemptId, EndpointId, ShardId};
 
 /// Pause before a pool is asked again, while its ownership changes or all pools are full.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Queue time of one round trip to an owner when the model has several pools, so that a request
-/// does not wait at a full pool while another has room.
-const SHORT_QUEUE_MS: u64 = 50;
+/// Queue time of the first round if the model has several pools. A pool that admits at once is
+/// looked for before the request waits in the queues of all of them.
+const FIRST_QUEUE_MS: u64 = 0;
 
 /// Asks the owners of the model's pools for a pair, until the request's queue deadline.
 pub async fn admit(
@@ -39,15 +40,17 @@
         if shards.is_empty() {
             return Err(CallError::NoEndpoint { outcome });
         }
+        let is_first = round == 0 && shards.len() > 1;
         let mut is_refused_everywhere = true;
-        for shard in &shards {
+        let mut is_full = false;
+        let is_region = |shard: &ShardId| is_in_region(shard, node);
+        for group in shards.chunk_by(|a, b| !is_first && is_region(a) == is_region(b)) {
             let queue_left_ms = call.queue_deadline.ms_since(node.clock.now());
-            let queue_ms =
-                if round == 0 && shards.len() > 1 { SHORT_QUEUE_MS } else { queue_left_ms };
+            let queue_ms = if is_first { FIRST_QUEUE_MS } else { queue_left_ms };
             let admission = Admission {
                 attempt: attempt.clone(),
                 organisation: call.organisation.clone(),
-                shard: shard.clone(),
+                shard: group[0].clone(),
                 prompt_tokens: call.prompt_tokens_bound(),
                 max_output_tokens: call.max_output_tokens,
                 prefix_hashes: prefix_hashes(call.organisation.as_str(), &call.prompt),
@@ -60,19 +63,21 @@
                 avoid: avoid.to_vec(),
                 zone: node.settings.zone.clone(),
             };
-            match ask_owner(node, shard, admission).await {
-                Some(AdmitAnswer::Plan(plan)) => {
-                    node.free_slots.note(shard, plan.free_slots);
-                    let shard = shard.clone();
-                    return Ok(Admitted { shard, plan, is_suspect, proof_tokens });
+            for (shard, answer) in ask_pools(node, group, &admission).await {
+                match answer {
+                    Some(AdmitAnswer::Plan(plan)) => {
+                        node.free_slots.note(&shard, plan.free_slots);
+                        return Ok(Admitted { shard, plan, is_suspect, proof_tokens });
+                    }
+                    Some(AdmitAnswer::Full { retry_after_ms: after_ms, free_slots }) => {
+                        node.free_slots.note(&shard, free_slots);
+                        retry_after_ms = after_ms;
+                        is_refused_everywhere = false;
+                        is_full = true;
+                    }
+                    Some(AdmitAnswer::NoEndpoint) => {}
+                    Some(AdmitAnswer::NotHolder(_)) | None => is_refused_everywhere = false,
                 }
-                Some(AdmitAnswer::Full { retry_after_ms: after_ms, free_slots }) => {
-                    node.free_slots.note(shard, free_slots);
-                    retry_after_ms = after_ms;
-                    is_refused_everywhere = false;
-                }
-                Some(AdmitAnswer::NoEndpoint) => {}
-                Some(AdmitAnswer::NotHolder(_)) | None => is_refused_everywhere = false,
             }
         }
         let is_late = node.clock.now() >= call.queue_deadline;
@@ -83,12 +88,18 @@
             return Err(CallError::NoCapacity { retry_after_ms, outcome });
         }
         round += 1;
-        tokio::time::sleep(RETRY_DELAY).await;
+        if !(is_first && is_full) {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
     }
 }
 
 /// `None` if the owner cannot be found or reached.
-async fn ask_owner(node: &Rc<Node>, shard: &ShardId, admission: Admission) -> Option<AdmitAnswer> {
+pub(super) async fn ask_owner(
+    node: &Rc<Node>,
+    shard: &ShardId,
+    admission: Admission,
+) -> Option<AdmitAnswer> {
     match find_holder(node, shard).await.ok()? {
         Holder::Own(held) => Some(node.pools.admit(admission, held.deadline).await),
         Holder::Peer(client, _) => {
--- /dev/null
+++ b/src/route/ask_pools.rs
@@ -0,0 +1,55 @@
+use std::rc::Rc;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use crate::gateway::Node;
+use crate::pool::{Admission, AdmitAnswer, AttemptEnd, FinishedAttempt};
+use crate::route::admit::ask_owner;
+use crate::route::finish_attempt;
+use crate::units::{ShardId, Tokens};
+
+/// Waits in the queues of several pools at the same time and returns the first plan, or what each
+/// pool answered. `admission` is the same for each pool but for the pool itself.
+pub(super) async fn ask_pools(
+    node: &Rc<Node>,
+    shards: &[ShardId],
+    admission: &Admission,
+) -> Vec<(ShardId, Option<AdmitAnswer>)> {
+    let asked = shards.iter().map(|shard| async move {
+        let admission = Admission { shard: shard.clone(), ..admission.clone() };
+        (shard, ask_owner(node, shard, admission).await)
+    });
+    let mut asked: FuturesUnordered<_> = asked.collect();
+    let mut answers = Vec::new();
+    let mut unanswered = shards.to_vec();
+    while let Some((shard, answer)) = asked.next().await {
+        unanswered.retain(|other| other != shard);
+        let is_plan = matches!(answer, Some(AdmitAnswer::Plan(_)));
+        answers.push((shard.clone(), answer));
+        if is_plan {
+            break;
+        }
+    }
+    // The calls end before the pools are told, so that none of them admits the attempt afterwards.
+    drop(asked);
+    unanswered.iter().for_each(|shard| spawn_withdrawal(node, shard, admission));
+    answers
+}
+
+/// Frees what a pool may have reserved with an answer that was not read.
+fn spawn_withdrawal(node: &Rc<Node>, shard: &ShardId, admission: &Admission) {
+    let finished = FinishedAttempt {
+        attempt: admission.attempt.clone(),
+        end: AttemptEnd::Cancelled,
+        endpoint: None,
+        is_unreached: false,
+        output_tokens: Tokens(0),
+        first_token_ms: 0,
+        decode_ms: 0,
+    };
+    let (node, shard, fingerprint) = (Rc::clone(node), shard.clone(), admission.fingerprint);
+    tokio::task::spawn_local(async move {
+        finish_attempt(&node, &shard, finished, fingerprint).await;
+    });
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod admitted;
+mod ask_pools;
 mod finish;
 mod holder;
 mod report;
