Add the experiment scale

Half of eight gateways get SIGTERM at once under a steady load and are replaced, then the other half. Callers follow /v1/addresses and send each request once. Bounds: 0 requests cut, refused or unanswered; every stop exits with 0 within 15 s; first token p95 within 340 ms after a warm-up of 4 s, in which the engines are cold whatever the gateways do. Organisations use about half of their rate, so that a bucket that starts empty shows.

A successor that is itself stopping was not met, since the state leaving is known before the handover begins 3.5 s later.

The short form runs in tests/fleet.rs.

--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -17,6 +17,7 @@
 mod reorder;
 mod repeat;
 mod roles;
+mod scale;
 mod service_call;
 mod silent;
 mod slopes;
@@ -48,6 +49,7 @@
     ("withdraw", "keys are withdrawn while their callers send over open connections"),
     ("repeat", "requests are sent again while the holder of their ids dies"),
     ("stop", "planned stops of all gateways in turn under load"),
+    ("scale", "half of the gateways stop at once and are restored, then the other half"),
     ("edits", "operators edit the document at the same time through different gateways"),
     ("poison", "a prompt that crashes engines, sent again and again"),
     ("poisons", "two prompts that crash engines, one soon after the other"),
@@ -95,6 +97,7 @@
         "withdraw" => withdraw::run(options, report).await?,
         "repeat" => repeat::run(options, report).await?,
         "stop" => stop::run(options, report).await?,
+        "scale" => scale::run(options, report).await?,
         "edits" => edits::run(options, report).await?,
         "poison" => poison::run(options, report, false).await?,
         "poisons" => poison::run(options, report, true).await?,
--- a/src/bench/experiments/stop.rs
+++ b/src/bench/experiments/stop.rs
@@ -13,9 +13,9 @@
 /// Requests go on after the last stop, so that effects of its handover are seen.
 const AFTERMATH: Duration = Duration::from_secs(2);
 
-struct Stop {
-    exit_code: Option<i32>,
-    took_ms: f64,
+pub(super) struct Stop {
+    pub exit_code: Option<i32>,
+    pub took_ms: f64,
 }
 
 /// Terminates and replaces the gateways in turn under load, all of them if the time suffices.
@@ -71,7 +71,7 @@
     Ok(stops)
 }
 
-fn report_stops(stops: &[Stop], report: &mut Report) {
+pub(super) fn report_stops(stops: &[Stop], report: &mut Report) {
     let longest = stops.iter().map(|stop| stop.took_ms).fold(0.0, f64::max);
     let failed = stops.iter().filter(|stop| stop.exit_code != Some(0)).count();
     report.bounded("planned stops", stops.len() as f64, "stops", Bound::AtLeast(1.0));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -55,6 +55,13 @@
     run("stop");
 }
 
+/// Guards against instances that hand their shards to each other while they all stop, budgets that
+/// start empty, and callers that notice when half of the instances leave or return.
+#[test]
+fn halving_the_gateways_is_not_noticed() {
+    run("scale");
+}
+
 /// Guards against accepted edits that are lost, reverted or late on some instance.
 #[test]
 fn racing_edits_are_in_force_everywhere() {
