Keep idle buckets full across a handover

Cause: a holder drops buckets that are full and idle, and its successor makes them anew at the next use. The successor counts from the time at which it learned of the organisation, but times before the arrival of the state were all taken for that arrival, so the bucket of an idle organisation was empty after each handover. Change: such times are converted to holder time like later ones. The time at which this instance learned of the organisation still bounds the level, so that removing and adding an organisation does not fill its bucket. A successor that started a moment ago still begins with no more than its rate times its own age.

--- a/src/budget/budgets.rs
+++ b/src/budget/budgets.rs
@@ -121,6 +121,15 @@
         serde_json::to_vec(shard).inspect_err(|e| warn!(target: "budget", "{id}: {e}")).ok()
     }
 
+    /// Goes on with a shard whose exported state was certainly not taken.
+    pub fn keep(&self, id: &ShardId) {
+        let now = self.clock.now();
+        if let Some(shard) = self.state.borrow_mut().shards.get_mut(id) {
+            shard.resume(now);
+            shard.is_exported = false;
+        }
+    }
+
     /// Keeps a handed-over state until `gain`. It counts only if the lease comes directly from the
     /// holder that exported it.
     pub fn import(&self, id: &ShardId, state: &[u8]) -> Result<(), serde_json::Error> {
--- a/src/budget/holder_time.rs
+++ b/src/budget/holder_time.rs
@@ -24,6 +24,10 @@
         HolderTime(self.0.saturating_add(ms))
     }
 
+    pub fn minus_ms(self, ms: u64) -> HolderTime {
+        HolderTime(self.0.saturating_sub(ms))
+    }
+
     pub fn ms_since(self, earlier: HolderTime) -> u64 {
         self.0.saturating_sub(earlier.0)
     }
--- a/src/budget/shard.rs
+++ b/src/budget/shard.rs
@@ -42,7 +42,12 @@
         }
     }
 
+    /// Times before the state arrived here count too: a bucket that was full and idle is not sent,
+    /// and would otherwise be empty at its next use.
     pub fn time_at(&self, at: Instant) -> HolderTime {
+        if at < self.started_at_local {
+            return self.started_at.minus_ms(self.started_at_local.ms_since(at));
+        }
         self.started_at.plus_ms(at.ms_since(self.started_at_local))
     }
 
--- a/tests/budget_protocol.rs
+++ b/tests/budget_protocol.rs
@@ -166,6 +166,21 @@
 
 struct ScriptedInstance(Allowances<TokioClock, Script>, TokioClock);
 
+/// Guards against an organisation whose full bucket the old holder had dropped as idle, and which is
+/// empty at the successor, and against a shard that a refused transfer leaves without grants.
+#[tokio::test(start_paused = true)]
+async fn an_idle_bucket_is_full_after_a_handover() {
+    let clock = TokioClock::new();
+    let next = owner(clock, 1, 1_000);
+    let old = full_owner(1, 1_000).await;
+    let state = old.export(&SHARD).expect("a held shard");
+    next.import(&SHARD, &state).expect("an exported state");
+    next.gain(&SHARD, Fencing(2), clock.now());
+    assert_eq!(granted(&next, &draw("a", 1, 1_000, 0)).tokens, Tokens(1_000));
+    old.keep(&SHARD);
+    assert_eq!(granted(&old, &draw("a", 1, 1_000, 0)).tokens, Tokens(1_000));
+}
+
 /// Answers draws from a script of delays and answers, then fails.
 #[derive(Clone, Default)]
 struct Script {
