Announce handovers to their successors

Cause: a successor found its row by the regular poll (500 ms) or a heartbeat, so each planned stop left its shards without a holder for up to half a second. By reading: a stopping instance added itself to its own candidates, could take shards over, and its rebalancing could export a budget shard at the same time as the stop, in which case the stop handed the lease over before the state had arrived. A rebalancing transfer that failed left the shard exported under a lease that was renewed for ever, so that it granted nothing. Change: the message with the state, sent for pools too, announces the handover, and the successor reads the row every 50 ms until it has it. A stopping instance refuses, takes nothing over and does not rebalance; the stop then asks the next successor, and waits for handovers that were announced before. After a refused transfer the holder goes on with its state; after one without an answer it gives the lease up. The lost race between rebalancing and the stop was found by reading and not reproduced.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -1,33 +1,78 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::gateway::Node;
 use crate::gateway::ownership::shards_of;
-use crate::peer::Member;
+use crate::peer::{Member, PeerError};
 use crate::units::ShardId;
 
-/// Sends a shard's state to its successor. The state of a pool needs no sending: reports of live
-/// attempts rebuild it within a second.
+/// Successors that are asked to take a shard. A successor refuses if it is stopping too.
+const MAX_SUCCESSORS: usize = 4;
+/// Rounds of handovers, and the pause between them, in which shards that others handed to this
+/// instance before they knew of its stop arrive and are passed on.
+const MAX_ROUNDS: u32 = 20;
+const ROUND_DELAY: Duration = Duration::from_millis(100);
+
+/// Sends a shard's state to its successor before rebalancing moves the lease. An exported state that
+/// was not taken is used again here; without an answer it may be used at the successor, so that the
+/// lease is given up.
 pub async fn send_state(node: Rc<Node>, shard: ShardId, successor: Member) -> bool {
-    let ShardId::Budget(_) = shard else { return true };
-    let Some(state) = node.budgets.export(&shard) else { return true };
-    let Ok(client) = node.peers.connect(&successor.instance, &node).await else { return false };
-    client.hand_over(&shard, &state).await.unwrap_or(false)
+    let state = export(&node, &shard);
+    match announce(&node, &shard, &state, &successor).await {
+        Ok(true) => return true,
+        Ok(false) | Err(PeerError::NotConnected) => node.budgets.keep(&shard),
+        Err(_) if matches!(shard, ShardId::Budget(_)) => node.leases.give_up(&shard),
+        Err(_) => {}
+    }
+    false
+}
+
+/// The state of a pool needs no sending: reports of live attempts rebuild it within a second.
+fn export(node: &Node, shard: &ShardId) -> Vec<u8> {
+    match shard {
+        ShardId::Budget(_) => node.budgets.export(shard).unwrap_or_default(),
+        ShardId::Pool { .. } => Vec::new(),
+    }
+}
+
+/// Whether the successor has the state and waits for the lease.
+async fn announce(
+    node: &Rc<Node>,
+    shard: &ShardId,
+    state: &[u8],
+    successor: &Member,
+) -> Result<bool, PeerError> {
+    let client = node.peers.connect(&successor.instance, node).await;
+    let client = client.map_err(|_| PeerError::NotConnected)?;
+    client.hand_over(shard, state).await
 }
 
 /// Hands all leases over before a planned stop.
 pub async fn hand_over_all(node: &Rc<Node>) {
-    for shard in shards_of(&node.configuration.current().document) {
-        if node.leases.held(&shard).is_none() {
-            continue;
+    for _ in 0..MAX_ROUNDS {
+        for shard in shards_of(&node.configuration.current().document) {
+            if node.leases.held(&shard).is_some() {
+                hand_over(node, &shard).await;
+            }
+        }
+        if !node.leases.is_expecting() {
+            return;
         }
-        let Some(successor) = node.leases.successors(&shard).into_iter().next() else { continue };
-        let is_sent = send_state(Rc::clone(node), shard.clone(), successor.clone()).await;
-        if !is_sent {
-            log::warn!(target: "lease", "state of {shard} not sent, its lease will lapse");
+        tokio::time::sleep(ROUND_DELAY).await;
+    }
+}
+
+async fn hand_over(node: &Rc<Node>, shard: &ShardId) {
+    let state = export(node, shard);
+    for successor in node.leases.successors(shard).iter().take(MAX_SUCCESSORS) {
+        if !announce(node, shard, &state, successor).await.unwrap_or(false) {
+            log::info!(target: "lease", "{} does not take {shard}", successor.instance);
             continue;
         }
-        if let Err(error) = node.leases.hand_over(&shard, &successor).await {
+        if let Err(error) = node.leases.hand_over(shard, successor).await {
             log::warn!(target: "lease", "{shard} not handed over: {error}");
         }
+        return;
     }
+    log::warn!(target: "lease", "nobody takes {shard}, its lease will lapse");
 }
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -29,7 +29,12 @@
     }
 
     async fn hand_over(&self, shard: ShardId, state: Vec<u8>) -> bool {
+        if !self.leases.expect(&shard) {
+            return false;
+        }
         match shard {
+            // The predecessor has no state if it gained the shard only just now.
+            ShardId::Budget(_) if state.is_empty() => true,
             ShardId::Budget(_) => self.budgets.import(&shard, &state).is_ok(),
             // Reports of live attempts rebuild a pool within a second.
             ShardId::Pool { .. } => true,
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -16,6 +16,7 @@
     let RunningGateway { node, server, tasks, .. } = running;
     log::info!(target: "gateway", "planned stop begins");
     node.membership.set_leaving();
+    node.leases.leave();
     register(&node, ListedState::Leaving).await;
     let kept_ms = node.settings.addresses_ttl_ms + SPREAD_MS;
     tokio::time::sleep(Duration::from_millis(kept_ms)).await;
--- a/src/lease/leases.rs
+++ b/src/lease/leases.rs
@@ -28,11 +28,16 @@
 /// Two rounds of witnesses fit between an unanswered renewal and the lease's deadline.
 pub(super) const WITNESS_TIMEOUT_MS: u64 = 500;
 
+/// Longer than a handover with its repeated writes usually takes. Later ones are found by the
+/// regular polls.
+const EXPECTED_MS: u64 = 2000;
+
 /// The shard leases of one instance, and its votes as a witness of others' leases.
 pub struct Leases<T, W, C> {
     pub(super) settings: LeasesBuilder<T, W, C>,
     pub(super) state: RefCell<State>,
     sequence: Cell<u64>,
+    pub(super) is_leaving: Cell<bool>,
     /// Wakes the candidate loop when a holding that names this instance was learned.
     pub(super) named: Notify,
 }
@@ -44,6 +49,8 @@
     /// Handovers in progress, until they have ended at the latest. The shards must not be regained
     /// meanwhile.
     pub handing_over: BTreeMap<ShardId, Instant>,
+    /// Shards whose holder has announced a handover to this instance, and until when it is awaited.
+    pub expected: BTreeMap<ShardId, Instant>,
     /// Instances that did not renew a lease they had; nothing is moved to them until then.
     pub failed: BTreeMap<Witness, Instant>,
     pub ranking: Ranking,
@@ -54,7 +61,13 @@
 
 impl<T: Table, W: Witnesses, C: Clock> Leases<T, W, C> {
     pub(super) fn new(settings: LeasesBuilder<T, W, C>) -> Self {
-        Leases { settings, state: RefCell::default(), sequence: Cell::new(0), named: Notify::new() }
+        Leases {
+            settings,
+            state: RefCell::default(),
+            sequence: Cell::new(0),
+            is_leaving: Cell::new(false),
+            named: Notify::new(),
+        }
     }
 
     /// Acquires, renews, extends, takes over and rebalances until the watch's sender is dropped.
@@ -80,6 +93,35 @@
         (self.now() < held.deadline).then_some(held)
     }
 
+    /// Before a planned stop: from now on this instance neither takes shards over nor moves them by
+    /// rebalancing, whose transfers would run into those of the stop.
+    pub fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// The holder is about to hand the shard over to this instance. Reads the row often, so that
+    /// the shard is without a holder only for a short time. False if this instance is leaving.
+    pub fn expect(&self, shard: &ShardId) -> bool {
+        if self.is_leaving.get() {
+            return false;
+        }
+        let until = self.now().plus_ms(EXPECTED_MS);
+        self.state.borrow_mut().expected.insert(shard.clone(), until);
+        self.named.notify_one();
+        true
+    }
+
+    /// Stops holding the shard, because its state may be in use elsewhere.
+    pub fn give_up(&self, shard: &ShardId) {
+        self.lose(shard, "given up");
+    }
+
+    /// Whether an announced handover may still arrive.
+    pub fn is_expecting(&self) -> bool {
+        let now = self.now();
+        self.state.borrow().expected.values().any(|until| now < *until)
+    }
+
     /// The newest known holder of the shard.
     pub fn holding(&self, shard: &ShardId) -> Option<Holding> {
         self.state.borrow().known.get(shard)
@@ -165,10 +207,11 @@
         }
     }
 
-    /// Takes the current membership, this instance included. Each round starts with it.
+    /// Takes the current membership, this instance included unless it is leaving. Each round starts with it.
     pub(super) fn refresh_members(&self) {
         let mut members = self.settings.witnesses.candidates();
-        if !members.iter().any(|m| m.instance == self.own().instance) {
+        members.retain(|m| m.instance != self.own().instance);
+        if !self.is_leaving.get() {
             members.push(self.own().clone());
         }
         self.state.borrow_mut().ranking.set_members(members);
@@ -201,6 +244,7 @@
         metrics::counter!("lease_gained").increment(1);
         let mut state = self.state.borrow_mut();
         state.observed.remove(shard);
+        state.expected.remove(shard);
         state.leases.insert(shard.clone(), lease);
         state.known.learn(row.holding(shard));
         state.emit(LeaseEvent::Gained { shard: shard.clone(), fencing, previous_end: end });
--- a/src/lease/poll.rs
+++ b/src/lease/poll.rs
@@ -20,6 +20,9 @@
 const ABSENT_WAIT_MS: u64 = 1500;
 const ABSENT_RANK_WAIT_MS: u64 = 500;
 
+/// Interval of reads while a handover to this instance is awaited.
+const EXPECTED_POLL_MS: u64 = 50;
+
 /// Gives the first candidate a head start. Two such waits, the wait for the unchanged row, the
 /// next read and the calls fit in 5 s.
 const TAKEOVER_RANK_WAIT_MS: u64 = 200;
@@ -41,14 +44,18 @@
     /// Shards to read, with this instance's rank.
     fn watched(&self, listed: &[ShardId]) -> Vec<(ShardId, u64)> {
         self.refresh_members();
+        let now = self.now();
+        self.state.borrow_mut().expected.retain(|_, until| now < *until);
         let mut watched = Vec::new();
         for shard in listed {
-            let Some(rank) =
-                self.order(shard).first.iter().position(|m| m.instance == self.own().instance)
-            else {
+            let order = self.order(shard);
+            let rank = order.first.iter().position(|m| m.instance == self.own().instance);
+            let is_called = self.is_named(shard) || self.is_expected(shard);
+            // An instance that is leaving has no rank, but must pass on what was handed to it.
+            let Some(rank) = rank.or(is_called.then_some(self.settings.candidates)) else {
                 continue;
             };
-            let is_candidate = rank < self.settings.candidates || self.is_named(shard);
+            let is_candidate = rank < self.settings.candidates || is_called;
             let state = self.state.borrow();
             if is_candidate && !state.is_busy(shard, self.now()) {
                 watched.push((shard.clone(), rank.min(self.settings.candidates) as u64));
@@ -70,6 +77,10 @@
         })
     }
 
+    fn is_expected(&self, shard: &ShardId) -> bool {
+        self.state.borrow().expected.contains_key(shard)
+    }
+
     fn drop_unlisted(&self, listed: &[ShardId]) {
         let listed: BTreeSet<&ShardId> = listed.iter().collect();
         let held: Vec<ShardId> = self.state.borrow().leases.keys().cloned().collect();
@@ -144,8 +155,10 @@
     /// Until the next poll, or until the first row is due if that comes before.
     fn next_poll(&self, watched: &[(ShardId, u64)]) -> Duration {
         let now = self.now();
-        let regular = now.plus_ms(self.settings.poll_ms);
         let state = self.state.borrow();
+        let is_expecting = state.expected.keys().any(|shard| !state.is_busy(shard, now));
+        let poll_ms = if is_expecting { EXPECTED_POLL_MS } else { self.settings.poll_ms };
+        let regular = now.plus_ms(poll_ms);
         let due = watched.iter().filter_map(|(shard, rank)| {
             let seen = state.observed.get(shard)?;
             Some(self.due(seen, *rank)).filter(|due| *due > now)
--- a/src/lease/rebalance.rs
+++ b/src/lease/rebalance.rs
@@ -41,6 +41,9 @@
     }
 
     fn plan_moves(&self) -> Vec<(ShardId, Member)> {
+        if self.is_leaving.get() {
+            return Vec::new();
+        }
         let now = self.now();
         self.state.borrow_mut().failed.retain(|_, at| now < at.plus_ms(FAILED_MS));
         self.refresh_members();
@@ -80,6 +83,9 @@
     async fn move_to(&self, shard: &ShardId, to: &Member) {
         if let Some(send) = &self.settings.state_sender {
             let sent = tokio::time::timeout(SEND_STATE, send(shard.clone(), to.clone())).await;
+            if sent.is_err() {
+                self.give_up(shard);
+            }
             if sent != Ok(true) {
                 log::warn!(target: "lease", "{shard} stays: {} did not take its state", to.instance);
                 return;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -188,6 +188,45 @@
     }
 }
 
+/// Guards against a shard that has no holder until the successor's next regular poll, which refuses
+/// or delays requests at each planned stop.
+#[test]
+fn announced_handover_takes_less_than_a_poll() {
+    simulate(async {
+        let (world, old) = held(7, 5).await;
+        for last in world.leases(old).unwrap().successors(&SHARD) {
+            let holder = world.holder(&SHARD).unwrap();
+            let leases = world.leases(holder).unwrap();
+            let Some(to) = leases.successors(&SHARD).into_iter().find(|m| *m == last) else {
+                continue;
+            };
+            let new = (0..5).find(|i| world.member(*i) == to).unwrap();
+            assert!(world.leases(new).unwrap().expect(&SHARD));
+            let handover = leases.hand_over(&SHARD, &to);
+            let (outcome, ()) = tokio::join!(handover, world.run_for(200));
+            assert!(outcome.is_ok());
+            assert_eq!(world.holder(&SHARD), Some(new));
+        }
+    });
+}
+
+/// Guards against shards that several instances which stop at once hand to each other, and against
+/// one that takes over a shard while it stops.
+#[test]
+fn leaving_instances_take_no_shard() {
+    simulate(async {
+        let (world, old) = held(9, 5).await;
+        let first = world.leases(old).unwrap().successors(&SHARD).remove(0);
+        let leaving = (0..5).find(|i| world.member(*i) == first).unwrap();
+        let leases = world.leases(leaving).unwrap();
+        leases.leave();
+        assert!(!leases.expect(&SHARD));
+        world.kill(old);
+        world.run_for(6000).await;
+        assert!(world.holder(&SHARD).is_some_and(|new| new != leaving));
+    });
+}
+
 /// Guards against pools held or witnessed outside their region, which a cut between regions ends.
 #[test]
 fn pool_stays_in_its_region_when_the_region_is_cut_off() {
