Wait longer for a missing owner than for a full pool

Cause: while an owner is missing, requests waited only for their queue time, 2 s for interactive ones, and a takeover takes about 4 s and old grants 1.5 s more. Requests within rate were refused as not run. Change: time without an owner is no part of the queue time. A request waits for the owners of its request id, its budget and its pools for 8 s in all, at most until its own deadline; a budget's owner counts as missing if a draw went unanswered during the wait. Waiting requests ask again each 50 to 100 ms and learn a new holder from the peers that may take the shard over, so that no signal was added. Test: a_missing_holder_is_waited_for_beyond_the_queue_time, which also checks that a holder that answers is not waited for beyond the queue time. Callers of an owner that never returns are refused after 8 s instead of 2 s.

--- a/src/budget/allowance.rs
+++ b/src/budget/allowance.rs
@@ -23,6 +23,8 @@
     sent: Option<SentDraw>,
     pub is_returning: bool,
     pub is_failing: bool,
+    /// When a draw was last not answered.
+    pub failed_at: Instant,
     pub retry_after_ms: u64,
     drawn_at: Instant,
     /// No draw for waiting requests, or repeat of a failed draw, before this time.
@@ -72,6 +74,7 @@
             sent: None,
             is_returning: false,
             is_failing: false,
+            failed_at: Instant::default(),
             retry_after_ms: 0,
             drawn_at: Instant::default(),
             next_draw_at: Instant::default(),
@@ -226,6 +229,7 @@
 
     pub fn note_failure(&mut self, now: Instant) {
         self.is_failing = true;
+        self.failed_at = now;
         self.next_draw_at = now.plus_ms(Allowance::RETRY_MS);
     }
 
--- a/src/budget/allowances.rs
+++ b/src/budget/allowances.rs
@@ -65,6 +65,17 @@
         organisation: &OrganisationId,
         tokens: Tokens,
         deadline: Instant,
+    ) -> Result<Charge, BudgetError> {
+        self.charge_with_patience(organisation, tokens, (deadline, deadline)).await
+    }
+
+    /// The same, but waits until the second deadline if the holder was missing during the wait:
+    /// nobody knows then whether the organisation is within its rate.
+    pub async fn charge_with_patience(
+        &self,
+        organisation: &OrganisationId,
+        tokens: Tokens,
+        (deadline, holder_deadline): (Instant, Instant),
     ) -> Result<Charge, BudgetError> {
         let burst = self.inner.bursts.borrow().get(organisation).copied();
         if burst.is_some_and(|burst| tokens > burst) {
@@ -76,10 +87,17 @@
             return Ok(charge);
         }
         counter!("budget_charges_that_waited").increment(1);
-        let receiver = pool.wait(tokens);
-        if let Ok(Ok(result)) = timeout(deadline.remaining(now), receiver).await {
+        let mut receiver = pool.wait(tokens);
+        if let Ok(Ok(result)) = timeout(deadline.remaining(now), &mut receiver).await {
             return result;
         }
+        if pool.allowance.borrow().failed_at >= now {
+            let rest = holder_deadline.remaining(self.inner.clock.now());
+            if let Ok(Ok(result)) = timeout(rest, &mut receiver).await {
+                return result;
+            }
+        }
+        drop(receiver);
         pool.serve(self.inner.clock.now());
         counter!("budget_charges_refused").increment(1);
         Err(pool.refusal())
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -16,7 +16,8 @@
 /// does not wait at a full pool while another has room.
 const SHORT_QUEUE_MS: u64 = 50;
 
-/// Asks the owners of the model's pools for a pair, until the request's queue deadline.
+/// Asks the owners of the model's pools for a pair, until the request's queue deadline. The time
+/// in which an owner was missing is no part of the queue time.
 pub async fn admit(
     node: &Rc<Node>,
     call: &Call,
@@ -27,6 +28,7 @@
     let outcome = produced.outcome();
     let mut retry_after_ms = 1_000;
     let mut round = 0;
+    let mut queue_deadline = call.queue_deadline;
     loop {
         let crashes = node.suspects.crashes(call.fingerprint);
         if crashes >= MAX_CRASHES {
@@ -40,8 +42,10 @@
             return Err(CallError::NoEndpoint { outcome });
         }
         let mut is_refused_everywhere = true;
+        let mut is_owner_missing = false;
+        let round_started_at = node.clock.now();
         for shard in &shards {
-            let queue_left_ms = call.queue_deadline.ms_since(node.clock.now());
+            let queue_left_ms = queue_deadline.ms_since(node.clock.now());
             let queue_ms =
                 if round == 0 && shards.len() > 1 { SHORT_QUEUE_MS } else { queue_left_ms };
             let admission = Admission {
@@ -72,10 +76,13 @@
                     is_refused_everywhere = false;
                 }
                 Some(AdmitAnswer::NoEndpoint) => {}
-                Some(AdmitAnswer::NotHolder(_)) | None => is_refused_everywhere = false,
+                Some(AdmitAnswer::NotHolder(_)) | None => {
+                    is_refused_everywhere = false;
+                    is_owner_missing = true;
+                }
             }
         }
-        let is_late = node.clock.now() >= call.queue_deadline;
+        let is_late = node.clock.now() >= queue_deadline;
         if is_late && is_refused_everywhere {
             return Err(CallError::NoEndpoint { outcome });
         }
@@ -84,6 +91,10 @@
         }
         round += 1;
         tokio::time::sleep(RETRY_DELAY).await;
+        if is_owner_missing {
+            let waited_ms = node.clock.now().ms_since(round_started_at);
+            queue_deadline = queue_deadline.plus_ms(waited_ms).min(call.holder_deadline);
+        }
     }
 }
 
--- a/src/serve/call.rs
+++ b/src/serve/call.rs
@@ -18,6 +18,9 @@
     pub class: Class,
     pub deadline: Instant,
     pub queue_deadline: Instant,
+    /// How long the request waits while an owner is missing. That is no overload, so such a wait is
+    /// no part of the queue time.
+    pub holder_deadline: Instant,
     pub fingerprint: Fingerprint,
 }
 
@@ -33,7 +36,14 @@
 
     /// The same request with more time in the pools' queues.
     pub fn queued_until(&self, queue_deadline: Instant) -> Call {
-        Call { queue_deadline: queue_deadline.min(self.deadline), ..self.clone() }
+        let queue_deadline = queue_deadline.min(self.deadline);
+        let holder_deadline = self.holder_deadline.max(queue_deadline);
+        Call { queue_deadline, holder_deadline, ..self.clone() }
+    }
+
+    /// The same request with its queue time prolonged by a wait for a missing owner.
+    pub fn delayed_by(&self, waited_ms: u64) -> Call {
+        self.queued_until(self.queue_deadline.plus_ms(waited_ms))
     }
 
     pub fn priority(&self) -> u8 {
--- a/src/serve/claim.rs
+++ b/src/serve/claim.rs
@@ -31,8 +31,8 @@
 }
 
 impl ClaimedRequest {
-    /// Claims the caller's request id, if it sent one. Waits for a holder until the end of the
-    /// request's queue time.
+    /// Claims the caller's request id, if it sent one. Waits for a missing holder, which is no
+    /// part of the request's queue time.
     pub async fn claim(node: &Rc<Node>, call: &Call) -> Result<Option<ClaimedRequest>, CallError> {
         let Some(request) = call.request.clone() else { return Ok(None) };
         let organisation = call.organisation.clone();
@@ -54,7 +54,7 @@
                 }
                 Err(error) => log::debug!(target: "serve", "claim not answered: {error}"),
             }
-            if node.clock.now() >= call.queue_deadline {
+            if node.clock.now() >= call.holder_deadline {
                 return Err(CallError::BudgetUnreachable { retry_after_ms: 1_000 });
             }
             tokio::time::sleep(RETRY_DELAY).await;
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -26,6 +26,9 @@
 const CHANNEL_EVENTS: usize = 64;
 /// Time for the last event to leave: hyper drops what it has not written when a body breaks.
 const FLUSH_TIME: Duration = Duration::from_millis(5);
+/// A takeover may take 5 s, and its organisations' buckets start to fill 1.5 s later. The rest is for
+/// the collection of request ids and the first draw.
+const HOLDER_WAIT_MS: u64 = 8_000;
 const MAX_REQUEST_ID_BYTES: usize = 128;
 const REQUEST_ID_HEADER: &str = "x-request-id";
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
@@ -83,6 +86,7 @@
 /// Claims the request's id, charges the budget and runs the request. In a task of its own, since
 /// a claim has to be ended also when the caller leaves before the request runs.
 async fn claim_and_run(node: Rc<Node>, call: Rc<Call>, events: mpsc::Sender<RunEvent>) {
+    let started_at = node.clock.now();
     let claimed = match while_waited_for(&events, ClaimedRequest::claim(&node, &call)).await {
         Some(Ok(claimed)) => claimed,
         Some(Err(error)) => {
@@ -91,9 +95,12 @@
         }
         None => return,
     };
+    // A claim waits only for a missing owner.
+    let call = call.delayed_by(node.clock.now().ms_since(started_at));
     let is_complete = match while_waited_for(&events, charge::charge(&node, &call)).await {
-        Some(Ok(charge)) => {
+        Some(Ok((charge, waited_ms))) => {
             node.retry_budget.note_request();
+            let call = Rc::new(call.delayed_by(waited_ms));
             run::run(Rc::clone(&node), call, charge, events).await
         }
         Some(Err(error)) => {
@@ -174,6 +181,7 @@
         class: route.class,
         deadline,
         queue_deadline: now.plus_ms(queue_ms).min(deadline),
+        holder_deadline: now.plus_ms(HOLDER_WAIT_MS.max(queue_ms)).min(deadline),
     })
 }
 
--- a/tests/budget_protocol.rs
+++ b/tests/budget_protocol.rs
@@ -181,6 +181,38 @@
     assert_eq!(granted(&old, &draw("a", 1, 1_000, 0)).tokens, Tokens(1_000));
 }
 
+/// Guards against a request that is refused at the end of its queue time although the holder of its
+/// budget was missing, and against one that outwaits a holder that answers.
+#[tokio::test(start_paused = true)]
+async fn a_missing_holder_is_waited_for_beyond_the_queue_time() {
+    for (holder_returns, refusal) in [(true, None), (false, Some(BudgetError::Unreachable))] {
+        let script = Script::default();
+        let ScriptedInstance(allowances, clock) = script.instance();
+        let (queue, holder) = (clock.now().plus_ms(2_000), clock.now().plus_ms(8_000));
+        let organisation = organisation();
+        let charge = allowances.charge_with_patience(&organisation, Tokens(100), (queue, holder));
+        let takeover = async {
+            sleep(Duration::from_millis(4_000)).await;
+            if holder_returns {
+                script.answer(1, 0, 2, 0);
+                script.answer(1, 100, 2, 1_500);
+            }
+        };
+        let (charge, ()) =
+            LocalSet::new().run_until(async { tokio::join!(charge, takeover) }).await;
+        assert_eq!(charge.err(), refusal);
+    }
+    let script = Script::default();
+    (0..60).for_each(|i| script.answer(50, 0, 1, i * 50));
+    let ScriptedInstance(allowances, clock) = script.instance();
+    let deadlines = (clock.now().plus_ms(2_000), clock.now().plus_ms(8_000));
+    let organisation = organisation();
+    let charge = allowances.charge_with_patience(&organisation, Tokens(100), deadlines);
+    let charge = LocalSet::new().run_until(charge).await;
+    assert!(matches!(charge.err(), Some(BudgetError::Exhausted { .. })));
+    assert!(clock.now() < deadlines.0.plus_ms(100));
+}
+
 /// Answers draws from a script of delays and answers, then fails.
 #[derive(Clone, Default)]
 struct Script {
