Shorten a new owner's wait for old grants by the margin

Cause: a takeover counted the previous lease as lasting until the takeover. The candidate has then seen the row unchanged for TTL + 500 ms, and each witness that consents has kept its promise of TTL + 500 ms, so the lease ended 500 ms before. The budget owner adds 500 ms of its own to the end of the old grants, so the margin was counted twice. Change: the previous end is 500 ms earlier; new buckets fill and engine orders begin so much sooner. A shorter TTL or shorter waits of candidates were not tried: they would take the margin away that the witnesses rely on.

--- a/src/lease/acquire.rs
+++ b/src/lease/acquire.rs
@@ -6,6 +6,7 @@
 use futures::stream::FuturesUnordered;
 
 use crate::clock::{Clock, Instant};
+use crate::lease::leases::MARGIN_MS;
 use crate::lease::leases::WITNESS_TIMEOUT_MS;
 use crate::lease::observed::{Observed, UnansweredGain};
 use crate::lease::own_lease::Lease;
@@ -54,11 +55,14 @@
         if !self.has_consent(&row.holding(shard), &row.witnesses).await {
             return;
         }
-        let previous_end = self.now();
+        // The row was seen unchanged for TTL + margin, and witnesses keep a promise for as long, so
+        // the lease ended a margin ago. Owners add a margin of their own to the old grants' end.
+        let consented_at = self.now();
+        let previous_end = Instant::from_ms(consented_at.as_ms().saturating_sub(MARGIN_MS));
         let next = self.gaining_row(shard, Fencing(row.fencing.get() + 1), &row.witnesses);
         if self.write_gain(shard, next, Some(revision), previous_end).await {
             let holder = Witness { instance: row.holder.clone(), incarnation: row.incarnation };
-            self.state.borrow_mut().failed.insert(holder, previous_end);
+            self.state.borrow_mut().failed.insert(holder, consented_at);
         }
     }
 
