Do not wait for ended instances when request ids are collected

Cause: the holder that takes over a budget shard asks all live instances for their request ids, and answers no claim before. An instance that has just stopped as planned counts as live for 5 s, and a call to it waits 1 s for a connection. When half of the instances stop at once, the requests of all moved shards therefore waited 1 s. Change: an instance known as leaving whose machine refuses the connection has ended and is not asked. A silent one is still waited for, and one that is not known as leaving too. The change has no test of its own.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -50,6 +50,14 @@
     }
 }
 
+/// Whether the machine answers that nobody listens at the address. Other failures say nothing about
+/// the process.
+pub(super) async fn is_refused(address: &str, source_address: IpAddr) -> bool {
+    let connect = connect_from(source_address, address);
+    let answer = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+    matches!(answer, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 async fn connect_from(source_address: IpAddr, address: &str) -> io::Result<TcpStream> {
     let address: SocketAddr = address.parse().map_err(io::Error::other)?;
     if source_address.is_unspecified() || source_address.is_ipv4() != address.is_ipv4() {
--- a/src/peer/peers.rs
+++ b/src/peer/peers.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Instant};
+use crate::peer::connection::is_refused;
 use crate::peer::link_task::LinkTask;
 use crate::peer::{Heartbeat, Member, Membership, PeerClient, PeerError};
 use crate::units::{Incarnation, InstanceId};
@@ -80,6 +81,12 @@
         }
     }
 
+    /// Whether the member's machine answers that nobody listens at its address, so that this run of
+    /// it has ended. A silent machine does not count.
+    pub async fn has_ended(&self, member: &Member) -> bool {
+        is_refused(&member.peer_address, self.source_address).await
+    }
+
     fn note_use(&self, instance: &InstanceId) {
         if let Some(link) = self.links.borrow().get(instance) {
             link.used_at.set(Some(self.clock.now()));
--- a/src/serve/collect_claims.rs
+++ b/src/serve/collect_claims.rs
@@ -36,6 +36,11 @@
     member: Member,
     shard: ShardId,
 ) -> Result<Vec<ReportedClaim>, PeerError> {
+    // After a planned stop, an instance is known as leaving for some seconds. Waiting for it would
+    // hold up all requests of the shard.
+    if member.is_leaving && node.peers.has_ended(&member).await {
+        return Err(PeerError::NotConnected);
+    }
     let client = node.peers.connect(&member.instance, &node).await?;
     client.report_claims(&shard).await
 }
