--- a/src/bench/experiments/kill.rs
+++ b/src/bench/experiments/kill.rs
@@ -119,6 +119,10 @@
     for tries in requests.iter().filter(|tries| answers(tries) == 0).take(SHOWN_FAILURES) {
         report.progress(&describe_tries(tries));
     }
+    let refused = requests.iter().filter_map(|tries| tries.first()).filter(|r| r.is_refused());
+    for first in refused.take(SHOWN_FAILURES) {
+        report.progress(&format!("first try refused: {first}"));
+    }
     let longest = requests.iter().map(|tries| longest_ms(tries)).max().unwrap_or(0);
     let unanswered = requests.len() - answered - twice - lost;
     report.value(PRODUCT, "requests", requests.len() as f64, "requests");
