--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -17,6 +17,7 @@
 mod reorder;
 mod repeat;
 mod roles;
+mod scale;
 mod service_call;
 mod silent;
 mod slopes;
@@ -51,6 +52,7 @@
     ("repeat", "requests are sent again while the holder of their ids dies"),
     ("repeat-both", "the same while the instance that answered them dies too"),
     ("stop", "planned stops of all gateways in turn under load"),
+    ("scale", "half of the gateways stop at once and are restored, then the other half"),
     ("edits", "operators edit the document at the same time through different gateways"),
     ("poison", "a prompt that crashes engines, sent again and again"),
     ("poisons", "two prompts that crash engines, one soon after the other"),
@@ -99,6 +101,7 @@
         "repeat" => repeat::run(options, Dying::Holder, report).await?,
         "repeat-both" => repeat::run(options, Dying::HolderAndAnswerer, report).await?,
         "stop" => stop::run(options, report).await?,
+        "scale" => scale::run(options, report).await?,
         "edits" => edits::run(options, report).await?,
         "poison" => poison::run(options, report, false).await?,
         "poisons" => poison::run(options, report, true).await?,
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -17,7 +17,8 @@
 /// looked for before the request waits in the queues of all of them.
 const FIRST_QUEUE_MS: u64 = 0;
 
-/// Asks the owners of the model's pools for a pair, until the request's queue deadline.
+/// Asks the owners of the model's pools for a pair, until the request's queue deadline. The time
+/// in which an owner was missing is no part of the queue time.
 pub async fn admit(
     node: &Rc<Node>,
     call: &Call,
@@ -28,6 +29,7 @@
     let outcome = produced.outcome();
     let mut retry_after_ms = 1_000;
     let mut round = 0;
+    let mut queue_deadline = call.queue_deadline;
     loop {
         let crashes = node.suspects.crashes(call.fingerprint);
         if crashes >= MAX_CRASHES {
@@ -43,9 +45,11 @@
         let is_first = round == 0 && shards.len() > 1;
         let mut is_refused_everywhere = true;
         let mut is_full = false;
+        let mut is_owner_missing = false;
+        let round_started_at = node.clock.now();
         let is_region = |shard: &ShardId| is_in_region(shard, node);
         for group in shards.chunk_by(|a, b| !is_first && is_region(a) == is_region(b)) {
-            let queue_left_ms = call.queue_deadline.ms_since(node.clock.now());
+            let queue_left_ms = queue_deadline.ms_since(node.clock.now());
             let queue_ms = if is_first { FIRST_QUEUE_MS } else { queue_left_ms };
             let admission = Admission {
                 attempt: attempt.clone(),
@@ -76,11 +80,18 @@
                         is_full = true;
                     }
                     Some(AdmitAnswer::NoEndpoint) => {}
-                    Some(AdmitAnswer::NotHolder(_)) | None => is_refused_everywhere = false,
+                    Some(AdmitAnswer::NotHolder(_)) | None => {
+                        is_refused_everywhere = false;
+                        is_owner_missing = true;
+                    }
                 }
             }
         }
-        let is_late = node.clock.now() >= call.queue_deadline;
+        if is_owner_missing {
+            let waited_ms = node.clock.now().ms_since(round_started_at);
+            queue_deadline = queue_deadline.plus_ms(waited_ms).min(call.holder_deadline);
+        }
+        let is_late = node.clock.now() >= queue_deadline;
         if is_late && is_refused_everywhere {
             return Err(CallError::NoEndpoint { outcome });
         }
