Add the protocol of regional parts of budgets

Cause: an organisation's bucket has one holder in the fleet, so a region that is cut off from it refuses all requests of that organisation.

Change: PartLedger keeps the counted shares at the holder of a budget shard, RegionParts keeps the buckets of a region. Neither is connected to the gateway yet. A request names the holder's fencing number: one that is made for an earlier holder and arrives late at a later one could otherwise hide a part that was given in between.

--- a/src/budget/bucket.rs
+++ b/src/budget/bucket.rs
@@ -148,6 +148,12 @@
         wait_ms.clamp(1, Bucket::MAX_RETRY_AFTER_MS)
     }
 
+    /// Granted, not yet settled and not past the deadline.
+    pub fn outstanding_tokens(&mut self, now: HolderTime) -> Tokens {
+        self.advance(now);
+        self.outstanding.total()
+    }
+
     /// Whether a bucket made anew would be the same. Drops idle accounts.
     pub fn is_idle(&mut self, now: HolderTime) -> bool {
         self.advance(now);
--- a/src/budget/holder_time.rs
+++ b/src/budget/holder_time.rs
@@ -15,11 +15,18 @@
 impl HolderTime {
     /// 2^40 ms are 34 years, longer than any holding.
     const RANGE_BITS: u32 = 40;
+    const REGION_BIT: u64 = 1 << 63;
 
     pub fn start(fencing: Fencing) -> HolderTime {
         HolderTime(fencing.0 << HolderTime::RANGE_BITS)
     }
 
+    /// Times of a region's sub-holder. Its fencing number counts another lease than that of the
+    /// shard's holder, so the same number must not give the same range.
+    pub fn start_in_region(fencing: Fencing) -> HolderTime {
+        HolderTime(HolderTime::start(fencing).0 | HolderTime::REGION_BIT)
+    }
+
     pub fn plus_ms(self, ms: u64) -> HolderTime {
         HolderTime(self.0.saturating_add(ms))
     }
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -15,10 +15,15 @@
 mod local_grants;
 mod organisation_pool;
 mod outstanding;
+mod part;
+mod part_ledger;
+mod region_part;
+mod region_parts;
 mod report;
 mod reported_claim;
 mod request_claims;
 mod shard;
+mod share;
 mod waiting_draws;
 
 pub use allowances::Allowances;
@@ -29,6 +34,12 @@
 pub use draw::{DrawAnswer, DrawRequest, Grant, Refund};
 pub use draw_calls::{DrawCalls, DrawError};
 pub use holder_time::HolderTime;
-pub use limits::{GRANT_TTL_MS, MARGIN_MS};
+pub use limits::{
+    GRANT_TTL_MS, MARGIN_MS, PART_MARGIN_MS, PART_RENEW_MS, PART_TTL_MS, REGION_REMOVAL_MS,
+};
+pub use part::{HeldPart, PartAnswer, PartRequest, Parts};
+pub use part_ledger::PartLedger;
+pub use region_parts::RegionParts;
 pub use reported_claim::ReportedClaim;
 pub use request_claims::{ClaimAnswer, RequestClaims};
+pub use share::Share;
--- /dev/null
+++ b/tests/regions.rs
@@ -0,0 +1,458 @@
+//! Parts of a budget in regions: one holder, a sub-holder and an instance in each region, and
+//! messages between them that are lost, late, repeated or overtaken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use almondroad::budget::{
+    DrawAnswer, DrawRequest, GRANT_TTL_MS, Grant, MARGIN_MS, PART_MARGIN_MS, PART_RENEW_MS,
+    PART_TTL_MS, PartAnswer, PartLedger, PartRequest, Parts, REGION_REMOVAL_MS, Refund,
+    RegionParts,
+};
+use almondroad::clock::{Clock, Instant, TokioClock};
+use almondroad::config::Rate;
+use almondroad::units::{
+    Fencing, Incarnation, InstanceId, OrganisationId, RegionId, Tokens, TokensPerSecond,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const REGIONS: usize = 3;
+
+fn region(index: usize) -> RegionId {
+    RegionId::new(["khomas", "erongo", "oshana"][index])
+}
+
+fn rates(per_s: u64, burst: u64) -> BTreeMap<OrganisationId, Rate> {
+    let rate = Rate { rate_tokens_per_s: TokensPerSecond(per_s), burst_tokens: Tokens(burst) };
+    BTreeMap::from([(OrganisationId::new("gobabis"), rate)])
+}
+
+struct Holder {
+    ledger: PartLedger,
+    lease_end: Instant,
+}
+
+struct Region {
+    parts: RegionParts,
+    lease_end: Instant,
+    fencing: u64,
+    draws: u64,
+    spent: Tokens,
+    /// Granted to the region's instance, with deadlines.
+    grants: Vec<(Instant, Grant)>,
+    refunds: Vec<Refund>,
+    is_cut_to_holder: bool,
+    is_cut_from_holder: bool,
+}
+
+/// Tokens of one grant that requests were charged, less what they did not use.
+struct Passed {
+    at: Instant,
+    tokens: u64,
+    region: usize,
+    granted_at: Instant,
+}
+
+struct Fleet {
+    clock: TokioClock,
+    rates: BTreeMap<OrganisationId, Rate>,
+    /// Of each fencing number. Requests to earlier ones may still arrive there.
+    holders: Vec<Holder>,
+    regions: Vec<Region>,
+    requests: Vec<(usize, PartRequest)>,
+    answers: Vec<(usize, u64, u64, Parts)>,
+    passed: Vec<Passed>,
+}
+
+const FOREVER: Instant = Instant::from_ms(u64::MAX);
+
+impl Fleet {
+    fn new(per_s: u64, burst: u64) -> Fleet {
+        let mut fleet = Fleet {
+            clock: TokioClock::new(),
+            rates: rates(per_s, burst),
+            holders: Vec::new(),
+            regions: Vec::new(),
+            requests: Vec::new(),
+            answers: Vec::new(),
+            passed: Vec::new(),
+        };
+        fleet.gain_holder();
+        for index in 0..REGIONS {
+            let parts = fleet.sub_holder(index, 1);
+            fleet.regions.push(Region {
+                parts,
+                lease_end: FOREVER,
+                fencing: 1,
+                draws: 0,
+                spent: Tokens(0),
+                grants: Vec::new(),
+                refunds: Vec::new(),
+                is_cut_to_holder: false,
+                is_cut_from_holder: false,
+            });
+        }
+        fleet
+    }
+
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn sub_holder(&self, index: usize, fencing: u64) -> RegionParts {
+        let now = self.now();
+        let mut parts = RegionParts::new(region(index), Fencing(fencing), now, now);
+        parts.set_rates(&self.rates, now);
+        parts
+    }
+
+    fn gain_holder(&mut self) {
+        let now = self.now();
+        self.lose_holder();
+        let mut ledger = PartLedger::new(Fencing(self.holders.len() as u64 + 1), now);
+        ledger.set_regions((0..REGIONS).map(region).collect::<BTreeSet<_>>(), now);
+        self.holders.push(Holder { ledger, lease_end: FOREVER });
+    }
+
+    fn lose_holder(&mut self) {
+        let now = self.now();
+        if let Some(holder) = self.holders.last_mut() {
+            holder.lease_end = holder.lease_end.min(now);
+        }
+    }
+
+    fn lose_sub_holder(&mut self, index: usize) {
+        self.regions[index].lease_end = self.regions[index].lease_end.min(self.now());
+    }
+
+    fn gain_sub_holder(&mut self, index: usize) {
+        self.lose_sub_holder(index);
+        let fencing = self.regions[index].fencing + 1;
+        self.regions[index].parts = self.sub_holder(index, fencing);
+        self.regions[index].fencing = fencing;
+        self.regions[index].lease_end = FOREVER;
+    }
+
+    fn set_rates(&mut self, per_s: u64, burst: u64) {
+        self.rates = rates(per_s, burst);
+        let now = self.now();
+        for region in &mut self.regions {
+            region.parts.set_rates(&self.rates, now);
+        }
+    }
+
+    fn request(&mut self, index: usize) {
+        let now = self.now();
+        let region = &mut self.regions[index];
+        let holder = Fencing(self.holders.len() as u64);
+        if let Some(request) = region.parts.request(holder, region.lease_end, now)
+            && !region.is_cut_to_holder
+        {
+            self.requests.push((index, request));
+        }
+    }
+
+    /// A request that stays in flight is delivered again later.
+    fn deliver_request(&mut self, at: usize, is_repeated: bool) {
+        let now = self.now();
+        let (index, request) = self.requests[at].clone();
+        if !is_repeated {
+            self.requests.swap_remove(at);
+        }
+        // The holder that it was made for, perhaps after its lease, or that holder's successor.
+        let last = self.holders.len() - 1;
+        let made_for = request.holder_fencing.0 as usize - 1;
+        let holder = &mut self.holders[if is_repeated { made_for } else { last }];
+        let answer = holder.ledger.renew(&request, &self.rates, holder.lease_end, now);
+        if let PartAnswer::Parts(parts) = answer
+            && !self.regions[index].is_cut_from_holder
+        {
+            self.answers.push((index, request.fencing.0, request.sequence, parts));
+        }
+    }
+
+    fn deliver_answer(&mut self, at: usize) {
+        let now = self.now();
+        let (index, fencing, sequence, parts) = self.answers.swap_remove(at);
+        if self.regions[index].fencing == fencing {
+            self.regions[index].parts.apply(sequence, &parts, now);
+        }
+    }
+
+    /// A renewal whose messages arrive at once.
+    fn renew(&mut self, index: usize) {
+        self.request(index);
+        if self.requests.last().is_some_and(|(of, ..)| *of == index) {
+            self.deliver_request(self.requests.len() - 1, false);
+            if self.answers.last().is_some_and(|(of, ..)| *of == index) {
+                self.deliver_answer(self.answers.len() - 1);
+            }
+        }
+    }
+
+    fn draw(&mut self, index: usize, need: u64, is_answer_lost: bool) -> Tokens {
+        let now = self.now();
+        let region = &mut self.regions[index];
+        region.draws += 1;
+        let request = DrawRequest {
+            organisation: OrganisationId::new("gobabis"),
+            instance: InstanceId::new("a"),
+            incarnation: Incarnation(1),
+            need_tokens: Tokens(need),
+            want_tokens: Tokens(need),
+            spent_tokens: std::mem::take(&mut region.spent),
+            returned_tokens: Tokens(0),
+            refunds: std::mem::take(&mut region.refunds),
+            sequence: region.draws,
+        };
+        match region.parts.draw(&request, region.lease_end, now) {
+            DrawAnswer::Granted(grant) if !is_answer_lost => {
+                region.grants.push((now.plus_ms(grant.time_to_live_ms), grant));
+                grant.tokens
+            }
+            _ => Tokens(0),
+        }
+    }
+
+    /// Passes all tokens whose grants have not ended.
+    fn spend(&mut self, index: usize) {
+        let now = self.now();
+        for (end, grant) in std::mem::take(&mut self.regions[index].grants) {
+            if now < end {
+                let (tokens, granted_at) = (grant.tokens.0, grant.granted_at);
+                self.regions[index].spent += grant.tokens;
+                self.passed.push(Passed { at: now, tokens, region: index, granted_at });
+            }
+        }
+    }
+
+    /// A request ends that used fewer tokens than it was charged.
+    fn refund(&mut self, at: usize, percent: u64) {
+        let passed = &mut self.passed[at];
+        let tokens = passed.tokens * percent / 100;
+        passed.tokens -= tokens;
+        let refund = Refund { granted_at: passed.granted_at, tokens: Tokens(tokens) };
+        self.regions[passed.region].refunds.push(refund);
+    }
+
+    async fn advance(&mut self, ms: u64) {
+        tokio::time::advance(Duration::from_millis(ms)).await;
+    }
+
+    /// Renews when due and draws and spends each 100 ms. Returns the tokens of each region.
+    async fn serve(&mut self, ms: u64, needs: [u64; REGIONS]) -> [u64; REGIONS] {
+        let mut passed = [0; REGIONS];
+        for _ in 0..ms / 100 {
+            for (index, need) in needs.into_iter().enumerate() {
+                if self.regions[index].parts.request_due() <= self.now() {
+                    self.renew(index);
+                }
+                if need > 0 {
+                    passed[index] += self.draw(index, need, false).0;
+                    self.spend(index);
+                }
+            }
+            self.advance(100).await;
+        }
+        passed
+    }
+
+    fn check(&self, after: Instant, per_s: u64, burst: u64) -> Result<(), TestCaseError> {
+        let passed: Vec<&Passed> = self.passed.iter().filter(|p| p.at >= after).collect();
+        for (first, Passed { at: from, .. }) in passed.iter().enumerate() {
+            let mut sum = 0;
+            for Passed { at: to, tokens, .. } in &passed[first..] {
+                sum += tokens;
+                let bound = burst + per_s * to.ms_since(*from) / 1_000;
+                prop_assert!(sum <= bound, "{sum} tokens from {from} to {to}, bound {bound}");
+            }
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Advance(u64),
+    Request(usize),
+    DeliverRequest(prop::sample::Index, bool),
+    DeliverAnswer(prop::sample::Index),
+    Lose(prop::sample::Index),
+    Renew(usize),
+    Draw(usize, u64, bool),
+    Spend(usize),
+    Refund(prop::sample::Index, u64),
+    Cut(usize, bool, bool),
+    LoseHolder,
+    GainHolder,
+    LoseSubHolder(usize),
+    GainSubHolder(usize),
+    StoreIsDown(bool),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let index = || any::<prop::sample::Index>();
+    prop_oneof![
+        8 => (1u64..2_000).prop_map(Event::Advance),
+        2 => (10_000u64..120_000).prop_map(Event::Advance),
+        1 => (PART_TTL_MS - 70_000..PART_TTL_MS + 10_000).prop_map(Event::Advance),
+        4 => (0..REGIONS).prop_map(Event::Request),
+        5 => (index(), prop::bool::weighted(0.3)).prop_map(|(i, r)| Event::DeliverRequest(i, r)),
+        5 => index().prop_map(Event::DeliverAnswer),
+        1 => index().prop_map(Event::Lose),
+        12 => (0..REGIONS).prop_map(Event::Renew),
+        16 => (0..REGIONS, 1u64..800, prop::bool::weighted(0.1))
+            .prop_map(|(region, need, is_lost)| Event::Draw(region, need, is_lost)),
+        8 => (0..REGIONS).prop_map(Event::Spend),
+        3 => (index(), 1u64..=100).prop_map(|(at, percent)| Event::Refund(at, percent)),
+        1 => (0..REGIONS, any::<bool>(), any::<bool>()).prop_map(|(r, to, from)| Event::Cut(r, to, from)),
+        1 => Just(Event::LoseHolder),
+        2 => Just(Event::GainHolder),
+        1 => (0..REGIONS).prop_map(Event::LoseSubHolder),
+        2 => (0..REGIONS).prop_map(Event::GainSubHolder),
+        1 => any::<bool>().prop_map(Event::StoreIsDown),
+    ]
+}
+
+async fn run(events: &[Event], lowered_at: usize) -> Result<(), TestCaseError> {
+    let mut fleet = Fleet::new(1_000, 1_000);
+    let mut is_store_down = false;
+    let mut lowered = FOREVER;
+    for round in 0..3 {
+        fleet.advance(REGION_REMOVAL_MS).await;
+        (0..REGIONS).for_each(|index| fleet.renew(index));
+        if round == 0 {
+            (0..REGIONS).for_each(|index| _ = fleet.draw(index, 300, false));
+        }
+    }
+    for (at, event) in events.iter().enumerate() {
+        if at == lowered_at {
+            fleet.set_rates(300, 400);
+            lowered = fleet.now().plus_ms(GRANT_TTL_MS);
+        }
+        match event {
+            Event::Advance(ms) => fleet.advance(*ms).await,
+            Event::Request(index) => fleet.request(*index),
+            Event::DeliverRequest(at, is_repeated) if !fleet.requests.is_empty() => {
+                fleet.deliver_request(at.index(fleet.requests.len()), *is_repeated);
+            }
+            Event::DeliverAnswer(at) if !fleet.answers.is_empty() => {
+                fleet.deliver_answer(at.index(fleet.answers.len()));
+            }
+            Event::Lose(at) if !fleet.answers.is_empty() => {
+                fleet.answers.swap_remove(at.index(fleet.answers.len()));
+            }
+            Event::Renew(index) => fleet.renew(*index),
+            Event::Draw(index, need, is_lost) => _ = fleet.draw(*index, *need, *is_lost),
+            Event::Spend(index) => fleet.spend(*index),
+            Event::Refund(at, percent) if !fleet.passed.is_empty() => {
+                fleet.refund(at.index(fleet.passed.len()), *percent);
+            }
+            Event::Cut(index, to, from) => {
+                fleet.regions[*index].is_cut_to_holder = *to;
+                fleet.regions[*index].is_cut_from_holder = *from;
+            }
+            Event::LoseHolder => fleet.lose_holder(),
+            Event::GainHolder if !is_store_down => fleet.gain_holder(),
+            Event::LoseSubHolder(index) => fleet.lose_sub_holder(*index),
+            Event::GainSubHolder(index) if !is_store_down => fleet.gain_sub_holder(*index),
+            Event::StoreIsDown(is_down) => is_store_down = *is_down,
+            _ => {}
+        }
+    }
+    (0..REGIONS).for_each(|index| fleet.spend(index));
+    fleet.check(Instant::default(), 1_000, 1_000)?;
+    fleet.check(lowered, 300, 400)?;
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000, rng_seed: RngSeed::Fixed(23), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against more than burst + rate × interval when holders and sub-holders die, pause
+    /// and are replaced, regions are cut in one or both directions, requests and answers are lost,
+    /// late, repeated or overtaken, the store is down and the rate is lowered.
+    #[test]
+    fn no_interval_passes_more_than_burst_and_rate(
+        events in prop::collection::vec(event(), 20..160),
+        lowered_at in 0usize..200,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time().start_paused(true).build().expect("a runtime");
+        runtime.block_on(run(&events, lowered_at))?;
+    }
+}
+
+/// A fleet whose regions have had parts by demand for a while.
+async fn settled(needs: [u64; REGIONS]) -> Fleet {
+    let mut fleet = Fleet::new(30_000, 30_000);
+    fleet.serve(4 * PART_RENEW_MS, needs).await;
+    fleet
+}
+
+/// Guards against a region that stops serving its part when it is cut off, and against one that
+/// serves on when its part has ended.
+#[tokio::test(start_paused = true)]
+async fn a_region_that_is_cut_off_serves_its_part_until_its_deadline() {
+    let mut fleet = settled([500; REGIONS]).await;
+    fleet.regions[1].is_cut_to_holder = true;
+    let cut = fleet.serve(PART_TTL_MS - PART_RENEW_MS, [500; REGIONS]).await;
+    let part = 10_000 * (PART_TTL_MS - PART_RENEW_MS) / 1_000;
+    // Draws ask for half of an equal part.
+    assert!(cut.iter().all(|tokens| *tokens * 100 >= part * 95 / 2), "{cut:?} of {part}");
+    fleet.serve(PART_RENEW_MS, [500; REGIONS]).await;
+    let ended = fleet.serve(10_000, [500; REGIONS]).await;
+    assert_eq!(ended[1], 0);
+    fleet.check(Instant::default(), 30_000, 30_000).expect("the bound");
+}
+
+/// Guards against a part of a region that is cut off which others are given before its deadline,
+/// and one that nobody is given afterwards.
+#[tokio::test(start_paused = true)]
+async fn the_part_of_a_region_that_is_cut_off_is_given_to_others_after_its_deadline() {
+    let needs = [4_000, 4_000, 0];
+    let mut fleet = settled(needs).await;
+    fleet.regions[1].is_cut_to_holder = true;
+    let during = fleet.serve(60_000, needs).await;
+    fleet.serve(PART_TTL_MS + PART_MARGIN_MS + 2 * PART_RENEW_MS, needs).await;
+    let after = fleet.serve(60_000, needs).await;
+    assert!(during[1] * 100 >= 60 * 13_000 * 95 && after[1] == 0, "{during:?} {after:?}");
+    assert!(after[0] > during[0] * 3 / 2, "{during:?} {after:?}");
+    fleet.check(Instant::default(), 30_000, 30_000).expect("the bound");
+}
+
+/// Guards against a new holder that gives away parts it has not heard of, and one that gives
+/// nothing new for the whole life of old parts although all regions have reported.
+#[tokio::test(start_paused = true)]
+async fn a_new_holder_moves_parts_once_all_regions_have_reported() {
+    let mut fleet = settled([4_000, 100, 100]).await;
+    fleet.regions[2].is_cut_to_holder = true;
+    fleet.gain_holder();
+    let moved = [100, 4_000, 100];
+    fleet.serve(2 * PART_RENEW_MS, moved).await;
+    let before = fleet.serve(10_000, moved).await;
+    assert!(before[1] < 30_000, "{before:?}");
+    fleet.regions[2].is_cut_to_holder = false;
+    fleet.serve(3 * PART_RENEW_MS, moved).await;
+    let after = fleet.serve(10_000, moved).await;
+    assert!(after[1] > 200_000, "{after:?}");
+    fleet.check(Instant::default(), 30_000, 30_000).expect("the bound");
+}
+
+/// Guards against a sub-holder that grants while its predecessor's grants may be spent, and one
+/// that does not ask again for the part.
+#[tokio::test(start_paused = true)]
+async fn a_new_sub_holder_asks_for_the_part_after_old_grants() {
+    let mut fleet = settled([500; REGIONS]).await;
+    fleet.gain_sub_holder(0);
+    let waiting = fleet.serve(GRANT_TTL_MS + MARGIN_MS, [500; REGIONS]).await;
+    assert_eq!(waiting[0], 0);
+    fleet.serve(2_000, [500; REGIONS]).await;
+    let after = fleet.serve(10_000, [500; REGIONS]).await;
+    assert!(after[0] >= 50_000 * 95 / 100, "{after:?}");
+    fleet.check(Instant::default(), 30_000, 30_000).expect("the bound");
+}
