Check that a new sub-holder asks for nothing too early

Cause: with the wait in RegionParts::request removed (trial) all tests passed. Change: the test of a new sub-holder asks at once and expects no request. The line that counts `used` is still caught by no test (trial).

--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -458,6 +458,8 @@
 async fn a_new_sub_holder_asks_for_the_part_after_old_grants() {
     let mut fleet = settled([500; REGIONS]).await;
     fleet.gain_sub_holder(0);
+    fleet.request(0);
+    assert!(fleet.requests.is_empty());
     let waiting = fleet.serve(GRANT_TTL_MS + MARGIN_MS, [500; REGIONS]).await;
     assert_eq!(waiting[0], 0);
     fleet.serve(2_000, [500; REGIONS]).await;
