--- a/src/bench/experiments/mod.rs
+++ b/src/bench/experiments/mod.rs
@@ -13,6 +13,7 @@
 mod partition;
 mod peak;
 mod poison;
+mod regions;
 mod removal;
 mod reorder;
 mod repeat;
@@ -48,6 +49,8 @@
     ("partition", "two of five gateways are cut off from the others and from the platform"),
     ("partition-peers", "two of five gateways are cut off from the others"),
     ("partition-platform", "one gateway is cut off from the platform"),
+    ("regions", "one of three regions is cut off from the others"),
+    ("regions-platform", "one of three regions is cut off from the others and from the platform"),
     ("withdraw", "keys are withdrawn while their callers send over open connections"),
     ("repeat", "requests are sent again while the holder of their ids dies"),
     ("repeat-both", "the same while the instance that answered them dies too"),
@@ -97,6 +100,8 @@
         "partition" => partition::run(options, Cut::Minority, report).await?,
         "partition-peers" => partition::run(options, Cut::Peers, report).await?,
         "partition-platform" => partition::run(options, Cut::Platform, report).await?,
+        "regions" => regions::run(options, false, report).await?,
+        "regions-platform" => regions::run(options, true, report).await?,
         "withdraw" => withdraw::run(options, report).await?,
         "repeat" => repeat::run(options, Dying::Holder, report).await?,
         "repeat-both" => repeat::run(options, Dying::HolderAndAnswerer, report).await?,
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -27,11 +27,12 @@
     false
 }
 
-/// The state of a pool needs no sending: reports of live attempts rebuild it within a second.
+/// The state of a pool needs no sending: reports of live attempts rebuild it within a second. A new
+/// holder of a region's budgets asks for its parts anew.
 fn export(node: &Node, shard: &ShardId) -> Vec<u8> {
     match shard {
         ShardId::Budget(_) => node.budgets.export(shard).unwrap_or_default(),
-        ShardId::Pool { .. } => Vec::new(),
+        ShardId::RegionBudget { .. } | ShardId::Pool { .. } => Vec::new(),
     }
 }
 
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -1,16 +1,16 @@
 //! Tells the owners of budgets and pools what this instance holds.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
-use crate::config::{Document, Endpoint};
+use crate::config::{Document, Endpoint, Rate};
 use crate::gateway::{BUDGET_SHARDS, Node, budget_shard};
 use crate::lease::LeaseEvent;
 use crate::serve::collect_claims;
-use crate::units::ShardId;
+use crate::units::{OrganisationId, RegionId, ShardId};
 
 /// Passes gained and lost leases on.
 pub async fn follow_leases(node: Rc<Node>, mut events: mpsc::UnboundedReceiver<LeaseEvent>) {
@@ -21,8 +21,12 @@
                 match shard {
                     ShardId::Budget(_) => {
                         node.budgets.gain(&shard, fencing, previous_end);
+                        node.region_budgets.gain(&shard, fencing, previous_end);
                         spawn_local(collect_claims(Rc::clone(&node), shard, fencing));
                     }
+                    ShardId::RegionBudget { .. } => {
+                        node.region_budgets.gain(&shard, fencing, previous_end);
+                    }
                     ShardId::Pool { .. } => node.pools.gain(shard, fencing, previous_end),
                 }
             }
@@ -30,6 +34,7 @@
                 log::info!(target: "lease", "{shard} lost");
                 match shard {
                     ShardId::Budget(_) => lose_budgets(&node, &shard),
+                    ShardId::RegionBudget { .. } => node.region_budgets.lose(&shard),
                     ShardId::Pool { .. } => node.pools.lose(&shard),
                 }
             }
@@ -39,22 +44,25 @@
 
 fn lose_budgets(node: &Node, shard: &ShardId) {
     node.budgets.lose(shard);
+    node.region_budgets.lose(shard);
     node.claims.keep_organisations(|organisation| budget_shard(organisation) != *shard);
 }
 
 /// Puts each new version of the document in force in the owners.
 pub async fn follow_configuration(node: Rc<Node>, shards: watch::Sender<Vec<ShardId>>) {
     let mut versions = node.configuration.subscribe();
+    let mut regions = BTreeSet::new();
     let mut rates = Rc::default();
     loop {
         let current = node.configuration.current();
         log::info!(target: "config", "version {} in force", current.version);
         // Most changes leave the rates as they are, and copying those of a large fleet takes
         // milliseconds.
-        if !Rc::ptr_eq(&rates, &current.document.rates) {
+        let current_regions = regions_of(&current.document);
+        if regions != current_regions || !Rc::ptr_eq(&rates, &current.document.rates) {
+            regions = current_regions;
             rates = Rc::clone(&current.document.rates);
-            node.budgets.set_rates(&rates);
-            node.allowances.set_rates(&rates);
+            set_rates(&node, &regions, &rates);
         }
         node.pools.set_document(Rc::clone(&current.document));
         let wanted = shards_of(&current.document);
@@ -69,6 +77,35 @@
     }
 }
 
+/// With several regions the holders of the budgets grant nothing themselves.
+fn set_rates(
+    node: &Node,
+    regions: &BTreeSet<RegionId>,
+    rates: &Rc<BTreeMap<OrganisationId, Rate>>,
+) {
+    if regions.len() > 1 {
+        node.budgets.suspend();
+    } else {
+        node.budgets.set_rates(rates);
+    }
+    node.region_budgets.set_document(regions.clone(), Rc::clone(rates));
+    node.allowances.set_rates(rates);
+}
+
+fn regions_of(document: &Document) -> BTreeSet<RegionId> {
+    document.zones.values().map(|zone| zone.region.clone()).collect()
+}
+
+/// Regional shards of budgets, where there are several regions.
+fn region_budgets_of(document: &Document) -> Vec<ShardId> {
+    let regions = Some(regions_of(document)).filter(|regions| regions.len() > 1);
+    let shards = regions.into_iter().flatten().flat_map(|region| {
+        let shard = move |index| ShardId::RegionBudget { region: region.clone(), index };
+        (0..ShardId::REGION_BUDGETS).map(shard)
+    });
+    shards.collect()
+}
+
 pub(super) fn shards_of(document: &Document) -> Vec<ShardId> {
     let budgets = (0..BUDGET_SHARDS).map(ShardId::Budget);
     let pools = document.endpoints.values().filter_map(|endpoint| match endpoint {
@@ -79,5 +116,6 @@
         }),
         Endpoint::Plain(_) => None,
     });
+    let budgets = budgets.chain(region_budgets_of(document));
     budgets.chain(pools).collect::<BTreeSet<_>>().into_iter().collect()
 }
