Share the rates of regional parts by reference count

Change: the parts share the document's rates. Documents with one region have no parts and are not affected.

Tests: regions, config, budget and settings pass; no figure was measured.

--- a/src/budget/region_parts.rs
+++ b/src/budget/region_parts.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use super::draw::{DrawAnswer, DrawRequest};
 use super::holder_time::HolderTime;
@@ -24,7 +25,7 @@
     gained_at: Instant,
     /// Grants of the previous sub-holder have ended by then.
     old_grants_end: Instant,
-    rates: BTreeMap<OrganisationId, Rate>,
+    rates: Rc<BTreeMap<OrganisationId, Rate>>,
     parts: BTreeMap<OrganisationId, RegionPart>,
 }
 
@@ -52,15 +53,15 @@
             request_due: old_grants_end,
             gained_at: now,
             old_grants_end,
-            rates: BTreeMap::new(),
+            rates: Rc::default(),
             parts: BTreeMap::new(),
         }
     }
 
     /// Puts rates in force at once. Levels are clamped to the parts of lowered rates.
-    pub fn set_rates(&mut self, rates: &BTreeMap<OrganisationId, Rate>, now: Instant) {
+    pub fn set_rates(&mut self, rates: &Rc<BTreeMap<OrganisationId, Rate>>, now: Instant) {
         let at = self.time_at(now);
-        self.rates = rates.clone();
+        self.rates = Rc::clone(rates);
         for (organisation, part) in &mut self.parts {
             part.set_rate(rates.get(organisation).copied().unwrap_or(RegionPart::NO_RATE), at);
         }
@@ -103,7 +104,8 @@
         self.request_due
     }
 
-    /// The next request for parts, to the holder with that fencing number. From here on the answers to earlier ones are ignored.
+    /// The next request for parts, to the holder with that fencing number. From here on the answers
+    /// to earlier ones are ignored.
     pub fn request(
         &mut self,
         holder_fencing: Fencing,
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -2,6 +2,7 @@
 //! messages between them that are lost, late, repeated or overtaken.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use almondroad::budget::{
@@ -23,9 +24,9 @@
     RegionId::new(["khomas", "erongo", "oshana"][index])
 }
 
-fn rates(per_s: u64, burst: u64) -> BTreeMap<OrganisationId, Rate> {
+fn rates(per_s: u64, burst: u64) -> Rc<BTreeMap<OrganisationId, Rate>> {
     let rate = Rate { rate_tokens_per_s: TokensPerSecond(per_s), burst_tokens: Tokens(burst) };
-    BTreeMap::from([(OrganisationId::new("gobabis"), rate)])
+    Rc::new(BTreeMap::from([(OrganisationId::new("gobabis"), rate)]))
 }
 
 struct Holder {
@@ -56,7 +57,7 @@
 
 struct Fleet {
     clock: TokioClock,
-    rates: BTreeMap<OrganisationId, Rate>,
+    rates: Rc<BTreeMap<OrganisationId, Rate>>,
     /// Of each fencing number. Requests to earlier ones may still arrive there.
     holders: Vec<Holder>,
     regions: Vec<Region>,
