Hash a prompt's prefixes once for each admission

Cause: the hashes were computed for each group of pools in each round of waiting, although the prompt stays the same; a request that waits while all slices are full hashed a prompt of up to tens of thousands of tokens again and again on the instance's only thread.

Change: they are computed before the first round. Two overlong doc comments are wrapped. Behaviour is unchanged.

Tests: caller (8) and lease (17) pass, clippy and formatter are clean. The saved CPU time was not measured.

--- a/src/lease/leases.rs
+++ b/src/lease/leases.rs
@@ -207,7 +207,8 @@
         }
     }
 
-    /// Takes the current membership, this instance included unless it is leaving. Each round starts with it.
+    /// Takes the current membership, this instance included unless it is leaving. Each round starts
+    /// with it.
     pub(super) fn refresh_members(&self) {
         let mut members = self.settings.witnesses.candidates();
         members.retain(|m| m.instance != self.own().instance);
--- a/src/lease/selection.rs
+++ b/src/lease/selection.rs
@@ -7,7 +7,8 @@
 use crate::peer::Member;
 use crate::units::{Incarnation, InstanceId, ShardId, ZoneId};
 
-/// Pools and parts of budgets are held and witnessed within their region, so that a region that is cut off keeps them.
+/// Pools and parts of budgets are held and witnessed within their region, so that a region that is
+/// cut off keeps them.
 pub(super) fn is_eligible(shard: &ShardId, member: &Member) -> bool {
     match shard {
         ShardId::Budget(_) => true,
--- a/src/route/admit.rs
+++ b/src/route/admit.rs
@@ -30,6 +30,7 @@
     let mut retry_after_ms = 1_000;
     let mut round = 0;
     let mut queue_deadline = call.queue_deadline;
+    let prefix_hashes = prefix_hashes(call.organisation.as_str(), &call.prompt);
     loop {
         let crashes = node.suspects.crashes(call.fingerprint);
         if crashes >= MAX_CRASHES {
@@ -57,7 +58,7 @@
                 shard: group[0].clone(),
                 prompt_tokens: call.prompt_tokens_bound(),
                 max_output_tokens: call.max_output_tokens,
-                prefix_hashes: prefix_hashes(call.organisation.as_str(), &call.prompt),
+                prefix_hashes: prefix_hashes.clone(),
                 class: call.class,
                 remaining_ms: call.deadline.ms_since(node.clock.now()),
                 queue_ms: queue_ms.min(queue_left_ms),
