Rename the traits of the store

Cause: a folder for the users' platform is about to appear, and src/platform named something else. Change: src/platform becomes src/store, HttpPlatform HttpStore and PlatformError StoreError.

--- a/src/config/admin.rs
+++ b/src/config/admin.rs
@@ -14,7 +14,7 @@
     ConfigError, ConfigWitnesses, Configuration, Finding, ServiceState, SmallEdit, check_document,
 };
 use crate::http::ResponseBody;
-use crate::platform::{Objects, Table};
+use crate::store::{Objects, Table};
 use crate::units::{EndpointId, KeyHash, OrganisationId, Version, ZoneId};
 
 /// What `Limited` converts a body's errors into.
--- a/src/config/catch_up.rs
+++ b/src/config/catch_up.rs
@@ -12,7 +12,7 @@
 use crate::config::{
     ChangeRow, ConfigError, ConfigWitnesses, Configuration, DocumentText, Head, InForce, Witness,
 };
-use crate::platform::{Objects, Table};
+use crate::store::{Objects, Table};
 use crate::units::{ContentHash, InstanceId, Version};
 
 /// Period of reads of the head row: 370 instances make 185 reads a second.
--- a/src/config/commit.rs
+++ b/src/config/commit.rs
@@ -11,7 +11,7 @@
 use crate::config::{
     Change, ChangeRow, ConfigError, ConfigWitnesses, Configuration, Head, Witness,
 };
-use crate::platform::{CommitOutcome, Objects, PlatformError, Table, Transaction};
+use crate::store::{CommitOutcome, Objects, StoreError, Table, Transaction};
 use crate::units::Version;
 
 /// Reads after a lost answer, at `RESOLVE_PAUSE` each, before the outcome is reported as unknown.
@@ -57,7 +57,7 @@
                 Ok(CommitOutcome::Applied { .. }) => {
                     return self.accept(proposal, &witnesses).await;
                 }
-                Err(source @ PlatformError::Unavailable { .. }) => {
+                Err(source @ StoreError::Unavailable { .. }) => {
                     return Err(ConfigError::store(source));
                 }
                 // The commit itself may have been delivered twice: the second delivery conflicts
--- a/src/config/config_error.rs
+++ b/src/config/config_error.rs
@@ -3,7 +3,7 @@
 
 use crate::config::{Finding, Severity};
 use crate::jsonc::JsoncError;
-use crate::platform::PlatformError;
+use crate::store::StoreError;
 use crate::units::Version;
 
 /// A refused edit, or a change that cannot be applied.
@@ -30,7 +30,7 @@
     NoMajority { version: Version },
     /// The edit certainly had no effect.
     #[display("the platform is not available: {source}")]
-    Store { source: PlatformError },
+    Store { source: StoreError },
     #[display("the platform's table is older than version {in_force}, which is in force")]
     StoreBehind { in_force: Version },
     #[display("the row {key} is malformed")]
@@ -49,7 +49,7 @@
         ConfigError::Invalid { findings: vec![Finding::new(Severity::Error, at)] }
     }
 
-    pub(super) fn store(source: PlatformError) -> ConfigError {
+    pub(super) fn store(source: StoreError) -> ConfigError {
         ConfigError::Store { source }
     }
 
--- a/src/config/configuration.rs
+++ b/src/config/configuration.rs
@@ -6,7 +6,7 @@
 use crate::clock::{Clock, Instant};
 use crate::config::recent_changes::RecentChanges;
 use crate::config::{Change, ConfigError, ConfigWitnesses, Head, InForce, Snapshot, Witness};
-use crate::platform::{Objects, Table};
+use crate::store::{Objects, Table};
 use crate::units::{AttemptId, Version};
 
 pub(super) const LOG: &str = "config";
--- a/src/config/confirm.rs
+++ b/src/config/confirm.rs
@@ -10,7 +10,7 @@
 use crate::config::{
     Change, ConfigError, ConfigWitnesses, Configuration, Confirmation, Head, Witness,
 };
-use crate::platform::{Objects, PlatformError, Row, Table};
+use crate::store::{Objects, Row, StoreError, Table};
 use crate::units::{Incarnation, Version};
 
 /// A revoked key must stop working within 3 s of its acceptance. The confirmation expires 0.5 s
@@ -218,9 +218,9 @@
 /// Limits a call to the platform. What takes longer has no known outcome.
 pub(super) async fn in_time<R>(
     limit: Duration,
-    call: impl Future<Output = Result<R, PlatformError>>,
-) -> Result<R, PlatformError> {
-    let late = |_| PlatformError::Unanswered { address: "platform".into(), reason: "late".into() };
+    call: impl Future<Output = Result<R, StoreError>>,
+) -> Result<R, StoreError> {
+    let late = |_| StoreError::Unanswered { address: "platform".into(), reason: "late".into() };
     tokio::time::timeout(limit, call).await.map_err(late)?
 }
 
--- a/src/config/edit.rs
+++ b/src/config/edit.rs
@@ -8,7 +8,7 @@
     Change, ChangeRow, ConfigError, ConfigWitnesses, Configuration, DocumentText, Head, InForce,
     Splice, check_document,
 };
-use crate::platform::{Objects, Table};
+use crate::store::{Objects, Table};
 use crate::units::{KeyHash, Version};
 
 impl<T: Table, O: Objects, C: Clock, W: ConfigWitnesses> Configuration<T, O, C, W> {
--- a/src/config/proposal.rs
+++ b/src/config/proposal.rs
@@ -1,7 +1,7 @@
 use smol_str::SmolStr;
 
 use crate::config::{Change, ChangeRow, Head, InForce, Witness};
-use crate::platform::Transaction;
+use crate::store::Transaction;
 use crate::units::AttemptId;
 
 /// A checked version that is about to be committed.
--- a/src/config/replace_witnesses.rs
+++ b/src/config/replace_witnesses.rs
@@ -8,7 +8,7 @@
 use crate::config::{Change, ConfigError, ConfigWitnesses, Configuration, Head, Witness};
 use crate::hash::rendezvous_order;
 use crate::peer::Member;
-use crate::platform::{Objects, Table};
+use crate::store::{Objects, Table};
 use crate::units::{Version, ZoneId};
 
 /// Witnesses of a fleet of at least this many instances, and of a smaller one.
--- a/src/config/small_edit.rs
+++ b/src/config/small_edit.rs
@@ -6,7 +6,7 @@
 use crate::config::entry_text::EntryText;
 use crate::config::{ConfigError, ConfigWitnesses, Configuration, DocumentText, ServiceState};
 use crate::jsonc::JsoncError;
-use crate::platform::{Objects, Table};
+use crate::store::{Objects, Table};
 use crate::units::{EndpointId, KeyHash, OrganisationId, Version, ZoneId};
 
 /// Times that a small edit is made again on a newer version after a conflict.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -12,8 +12,8 @@
 use crate::gateway::{GatewayMetrics, Node, NodePeers};
 use crate::http::{Handler, ResponseBody};
 use crate::once::{IDEMPOTENCY_HEADER, PlainRequest, call_at_most_once, call_idempotent};
-use crate::platform::HttpPlatform;
 use crate::serve::{CallError, CallerKey, complete, error_response, json_response, read_body};
+use crate::store::HttpStore;
 use crate::units::OrganisationId;
 
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
@@ -21,7 +21,7 @@
 /// Answers callers and operators.
 pub struct GatewayHandler {
     node: Rc<Node>,
-    admin: Admin<HttpPlatform, HttpPlatform, BootClock, NodePeers>,
+    admin: Admin<HttpStore, HttpStore, BootClock, NodePeers>,
 }
 
 impl GatewayHandler {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -12,11 +12,11 @@
 use crate::lease::{Held, Leases};
 use crate::once::ServiceLatency;
 use crate::peer::{Membership, Peers};
-use crate::platform::HttpPlatform;
 use crate::pool::{EngineFactory, Pools};
 use crate::route::FreeSlots;
 use crate::serve::{InFlight, LiveAttempts, LiveClaims, RetryBudget};
 use crate::settings::GatewaySettings;
+use crate::store::HttpStore;
 use crate::suspect::Suspects;
 use crate::units::{OrganisationId, ShardId};
 
@@ -41,11 +41,11 @@
 pub struct Node {
     pub settings: GatewaySettings,
     pub clock: BootClock,
-    pub platform: HttpPlatform,
+    pub platform: HttpStore,
     pub membership: Rc<Membership<BootClock>>,
     pub peers: Peers<BootClock>,
-    pub leases: Rc<Leases<HttpPlatform, NodePeers, BootClock>>,
-    pub configuration: Rc<Configuration<HttpPlatform, HttpPlatform, BootClock, NodePeers>>,
+    pub leases: Rc<Leases<HttpStore, NodePeers, BootClock>>,
+    pub configuration: Rc<Configuration<HttpStore, HttpStore, BootClock, NodePeers>>,
     pub budgets: Budgets<BootClock>,
     pub region_budgets: RegionBudgets<BootClock>,
     pub claims: RequestClaims<BootClock>,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -21,11 +21,11 @@
 use crate::lease::{LeasesBuilder, StateSender};
 use crate::once::{ServiceLatency, delete_expired};
 use crate::peer::{Member, Membership, Peers, accept_peers};
-use crate::platform::{HttpPlatform, InstanceList, ListedInstance, ListedState};
 use crate::pool::Pools;
 use crate::route::{FreeSlots, report_progress};
 use crate::serve::{InFlight, LiveAttempts, LiveClaims, RetryBudget, keep_claims};
 use crate::settings::GatewaySettings;
+use crate::store::{HttpStore, InstanceList, ListedInstance, ListedState};
 use crate::suspect::Suspects;
 use crate::units::{Incarnation, Version};
 
@@ -93,7 +93,7 @@
 
 fn build_node(settings: GatewaySettings, own: Member, metrics: GatewayMetrics) -> Rc<Node> {
     let clock = BootClock;
-    let platform = HttpPlatform::new(settings.platform_address.clone());
+    let platform = HttpStore::new(settings.platform_address.clone());
     let membership = Rc::new(Membership::new(own.clone(), clock));
     let engines = Rc::new(Engines::default());
     let suspects = Rc::new(Suspects::new(clock));
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -3,7 +3,7 @@
 use crate::gateway::RunningGateway;
 use crate::gateway::handover::hand_over_all;
 use crate::gateway::start::register;
-use crate::platform::ListedState;
+use crate::store::ListedState;
 
 /// Time for peers to learn from heartbeats that this instance is leaving.
 const SPREAD_MS: u64 = 1_500;
--- a/src/lease/acquire.rs
+++ b/src/lease/acquire.rs
@@ -12,7 +12,7 @@
 use crate::lease::own_lease::Lease;
 use crate::lease::votes::Votes;
 use crate::lease::{Holding, LeaseRow, Leases, Witness, Witnesses};
-use crate::platform::{CommitOutcome, PlatformError, Table, Transaction};
+use crate::store::{CommitOutcome, StoreError, Table, Transaction};
 use crate::units::{Fencing, ShardId};
 
 impl<T: Table, W: Witnesses, C: Clock> Leases<T, W, C> {
@@ -129,7 +129,7 @@
                 self.gain(shard, lease, &row, previous_end);
                 true
             }
-            Ok(CommitOutcome::Conflict { .. }) | Err(PlatformError::Unavailable { .. }) => false,
+            Ok(CommitOutcome::Conflict { .. }) | Err(StoreError::Unavailable { .. }) => false,
             Err(error) => {
                 log::warn!(target: "lease", "no answer to the acquisition of {shard}: {error}");
                 let unanswered = UnansweredGain { attempt: row.attempt, sent, previous_end };
--- a/src/lease/extend.rs
+++ b/src/lease/extend.rs
@@ -9,7 +9,7 @@
 use crate::lease::leases::WITNESS_TIMEOUT_MS;
 use crate::lease::votes::Votes;
 use crate::lease::{Holding, Leases, Witness, Witnesses};
-use crate::platform::Table;
+use crate::store::Table;
 use crate::units::{Fencing, ShardId};
 
 /// How soon a lapsed lease is reported and a lease near its deadline is noticed.
--- a/src/lease/hand_over.rs
+++ b/src/lease/hand_over.rs
@@ -6,7 +6,7 @@
 use crate::lease::selection::is_eligible;
 use crate::lease::{LeaseError, LeaseRow, Leases, Witnesses};
 use crate::peer::Member;
-use crate::platform::{CommitOutcome, Table, Transaction};
+use crate::store::{CommitOutcome, Table, Transaction};
 use crate::units::{Fencing, ShardId};
 
 /// A renewal that was on its way can change the row's revision under the first attempt.
--- a/src/lease/lease_error.rs
+++ b/src/lease/lease_error.rs
@@ -1,6 +1,6 @@
 use derive_more::{Display, Error, From};
 
-use crate::platform::PlatformError;
+use crate::store::StoreError;
 use crate::units::{InstanceId, ShardId};
 
 /// A handover that did not succeed.
@@ -16,5 +16,5 @@
     #[from(skip)]
     RowChanged(#[error(not(source))] ShardId),
     #[display("table: {_0}")]
-    Table(PlatformError),
+    Table(StoreError),
 }
--- a/src/lease/leases.rs
+++ b/src/lease/leases.rs
@@ -15,7 +15,7 @@
     Held, Holding, LeaseClaim, LeaseEvent, LeaseRow, LeasesBuilder, Witness, Witnesses,
 };
 use crate::peer::Member;
-use crate::platform::Table;
+use crate::store::Table;
 use crate::units::{AttemptId, ShardId};
 
 /// Bounds the difference of two clocks' rates over a TTL, and scheduling delays.
--- a/src/lease/leases_builder.rs
+++ b/src/lease/leases_builder.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::lease::{Leases, Witnesses};
 use crate::peer::Member;
-use crate::platform::Table;
+use crate::store::Table;
 use crate::units::ShardId;
 
 /// Sends a shard's state to its successor before rebalancing hands the lease over. False keeps the
--- a/src/lease/poll.rs
+++ b/src/lease/poll.rs
@@ -12,7 +12,7 @@
 use crate::lease::observed::Observed;
 use crate::lease::{LeaseRow, Leases, Witnesses};
 use crate::peer::Member;
-use crate::platform::{Row, Table};
+use crate::store::{Row, Table};
 use crate::units::ShardId;
 
 /// A row that does not exist is left alone for this time, so that instances that start together
--- a/src/lease/rebalance.rs
+++ b/src/lease/rebalance.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::lease::{Leases, Witness, Witnesses};
 use crate::peer::Member;
-use crate::platform::Table;
+use crate::store::Table;
 use crate::units::ShardId;
 
 /// A new instance is preferred only after it has been live for this long in this view.
--- a/src/lease/renew.rs
+++ b/src/lease/renew.rs
@@ -6,7 +6,7 @@
 use crate::lease::leases::TABLE_TIMEOUT_MS;
 use crate::lease::own_lease::Lease;
 use crate::lease::{LeaseRow, Leases, Witnesses};
-use crate::platform::{CommitOutcome, PlatformError, Row, Table, Transaction};
+use crate::store::{CommitOutcome, Row, StoreError, Table, Transaction};
 use crate::units::{Fencing, ShardId};
 
 /// Each conflict removes at least one row from the transaction or brings a newer revision.
@@ -76,7 +76,7 @@
                 });
                 true
             }
-            Err(PlatformError::Unavailable { .. }) => {
+            Err(StoreError::Unavailable { .. }) => {
                 self.update(renewals, |lease, _| lease.note_no_effect());
                 false
             }
@@ -173,20 +173,20 @@
     pub(super) async fn commit(
         &self,
         transaction: &Transaction,
-    ) -> Result<CommitOutcome, PlatformError> {
+    ) -> Result<CommitOutcome, StoreError> {
         within_table_timeout(self.settings.table.commit(transaction)).await
     }
 
-    pub(super) async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+    pub(super) async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError> {
         within_table_timeout(self.settings.table.read(keys)).await
     }
 }
 
 async fn within_table_timeout<A>(
-    call: impl Future<Output = Result<A, PlatformError>>,
-) -> Result<A, PlatformError> {
+    call: impl Future<Output = Result<A, StoreError>>,
+) -> Result<A, StoreError> {
     let limit = Duration::from_millis(TABLE_TIMEOUT_MS);
     tokio::time::timeout(limit, call).await.unwrap_or_else(|_| {
-        Err(PlatformError::Unanswered { address: "table".into(), reason: "timeout".into() })
+        Err(StoreError::Unanswered { address: "table".into(), reason: "timeout".into() })
     })
 }
--- a/src/once/at_most_once.rs
+++ b/src/once/at_most_once.rs
@@ -9,8 +9,8 @@
 use crate::once::{
     ClaimRow, ClaimState, PlainAnswer, PlainRequest, StoredAnswer, StoredBody, forward,
 };
-use crate::platform::{CommitOutcome, Objects, PlatformError, Row, Table, Transaction};
 use crate::serve::{CallError, Outcome};
+use crate::store::{CommitOutcome, Objects, Row, StoreError, Table, Transaction};
 use crate::units::OrganisationId;
 
 /// Longest time that the service may take; afterwards the outcome is unknown.
@@ -74,7 +74,7 @@
             match self.node.platform.commit(&transaction).await {
                 Ok(CommitOutcome::Applied { revision }) => return Ok(Claimed::Own { revision }),
                 Ok(CommitOutcome::Conflict { .. }) => {}
-                Err(PlatformError::Unavailable { .. }) if !may_be_written => {
+                Err(StoreError::Unavailable { .. }) if !may_be_written => {
                     return Err(CallError::TableUnavailable);
                 }
                 Err(_) => may_be_written = true,
@@ -159,7 +159,7 @@
         self.node.platform.commit(&transaction).await.is_ok()
     }
 
-    async fn remove(&self, revision: u64) -> Result<(), PlatformError> {
+    async fn remove(&self, revision: u64) -> Result<(), StoreError> {
         let transaction =
             Transaction::default().require(&self.table_key, Some(revision)).delete(&self.table_key);
         self.node.platform.commit(&transaction).await.map(|_| ())
@@ -180,12 +180,12 @@
         });
     }
 
-    async fn read(&self) -> Result<Option<(ClaimRow, u64)>, PlatformError> {
+    async fn read(&self) -> Result<Option<(ClaimRow, u64)>, StoreError> {
         let rows = self.node.platform.read(std::slice::from_ref(&self.table_key)).await?;
         let Some(Row { value, revision }) = rows.into_iter().next().flatten() else {
             return Ok(None);
         };
-        let row = serde_json::from_str(&value).map_err(|error| PlatformError::Malformed {
+        let row = serde_json::from_str(&value).map_err(|error| StoreError::Malformed {
             address: self.table_key.as_str().into(),
             reason: error.to_string().into(),
         })?;
--- a/src/once/expiry_sweep.rs
+++ b/src/once/expiry_sweep.rs
@@ -1,6 +1,6 @@
 use crate::gateway::budget_shard;
 use crate::once::ClaimRow;
-use crate::platform::{CommitOutcome, PlatformError, Table, Transaction};
+use crate::store::{CommitOutcome, StoreError, Table, Transaction};
 use crate::units::{OrganisationId, ShardId};
 
 /// Rows are kept for 7 days after the claim. The day on top covers the difference between the wall
@@ -41,7 +41,7 @@
         table: &T,
         now_unix_s: u64,
         is_holder: impl Fn() -> bool,
-    ) -> Result<SweepProgress, PlatformError> {
+    ) -> Result<SweepProgress, StoreError> {
         let rows = table.scan(ClaimRow::TABLE_PREFIX, &self.after, Self::BATCH).await?;
         let Some((last, _)) = rows.last() else {
             self.after.clear();
--- a/src/peer/known.rs
+++ b/src/peer/known.rs
@@ -1,6 +1,6 @@
 use crate::clock::Instant;
 use crate::peer::{Digest, Member, NamedMember};
-use crate::platform::{ListedInstance, ListedState};
+use crate::store::{ListedInstance, ListedState};
 
 /// Silence after which the low bits of a counter no longer tell older from newer.
 const COUNTER_WINDOW_MS: u64 = 30_000;
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -5,7 +5,7 @@
 use crate::hash::rendezvous_order;
 use crate::peer::known::Known;
 use crate::peer::{Digest, Member};
-use crate::platform::ListedInstance;
+use crate::store::ListedInstance;
 use crate::units::{Incarnation, InstanceId};
 
 /// Silence after which a member counts as dead in this instance's view.
--- a/src/standin/platform/listing.rs
+++ b/src/standin/platform/listing.rs
@@ -3,7 +3,7 @@
 
 use tokio::time::Instant;
 
-use crate::platform::ListedInstance;
+use crate::store::ListedInstance;
 use crate::units::InstanceId;
 
 /// Longest lag for which earlier entries are kept.
--- a/src/standin/platform/rows.rs
+++ b/src/standin/platform/rows.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
-use crate::platform::{CommitOutcome, Row, Transaction};
+use crate::store::{CommitOutcome, Row, Transaction};
 
 /// The table's rows.
 #[derive(Clone, Debug, Default)]
--- a/src/standin/platform/service.rs
+++ b/src/standin/platform/service.rs
@@ -17,12 +17,12 @@
 use super::settings::{PlatformFaults, PlatformSettings};
 use super::usage::{RowCounts, Usage};
 use crate::http::{BrokenStream, Handler, ResponseBody};
-use crate::platform::{
-    CommitOutcome, ReadAnswer, ReadQuestion, ScanAnswer, ScanQuestion, Transaction,
-};
 use crate::standin::answer::{Answer, Refusal, json, not_found, read_bytes, read_json, respond};
 use crate::standin::launch::spawn_until;
 use crate::standin::network::Network;
+use crate::store::{
+    CommitOutcome, ReadAnswer, ReadQuestion, ScanAnswer, ScanQuestion, Transaction,
+};
 use crate::units::{ContentHash, InstanceId};
 
 const READ: RowCounts = RowCounts { reads: 1, writes: 0 };
--- a/src/platform/http_platform.rs
+++ b/src/store/http_store.rs
@@ -7,8 +7,8 @@
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::http::{HttpClient, HttpError};
-use crate::platform::{
-    CommitOutcome, InstanceList, ListedInstance, Objects, PlatformError, Row, Table, Transaction,
+use crate::store::{
+    CommitOutcome, InstanceList, ListedInstance, Objects, Row, StoreError, Table, Transaction,
 };
 use crate::units::ContentHash;
 
@@ -19,7 +19,7 @@
 
 /// Client of the platform's table, object store and instance list over HTTP.
 #[derive(Clone)]
-pub struct HttpPlatform {
+pub struct HttpStore {
     client: HttpClient,
 }
 
@@ -45,9 +45,9 @@
     pub rows: Vec<(String, Row)>,
 }
 
-impl HttpPlatform {
-    pub fn new(address: impl Into<SmolStr>) -> HttpPlatform {
-        HttpPlatform { client: HttpClient::new(address) }
+impl HttpStore {
+    pub fn new(address: impl Into<SmolStr>) -> HttpStore {
+        HttpStore { client: HttpClient::new(address) }
     }
 
     async fn call<Q: Serialize, A: DeserializeOwned>(
@@ -55,36 +55,36 @@
         method: Method,
         path: &str,
         question: &Q,
-    ) -> Result<A, PlatformError> {
+    ) -> Result<A, StoreError> {
         self.client.call(method, path, question, CALL_TIMEOUT).await.map_err(|e| self.convert(e))
     }
 
-    fn convert(&self, error: HttpError) -> PlatformError {
+    fn convert(&self, error: HttpError) -> StoreError {
         let address = self.client.address().clone();
         match error {
             // A platform that refuses with a status has not applied the call.
             HttpError::Connect { .. } | HttpError::Status { .. } => {
-                PlatformError::Unavailable { address, reason: error.to_smolstr() }
+                StoreError::Unavailable { address, reason: error.to_smolstr() }
             }
             HttpError::Timeout { .. } => {
                 // Other pooled connections may have gone silent too.
                 self.client.reset();
-                PlatformError::Unanswered { address, reason: error.to_smolstr() }
+                StoreError::Unanswered { address, reason: error.to_smolstr() }
             }
             HttpError::Broken { .. } => {
-                PlatformError::Unanswered { address, reason: error.to_smolstr() }
+                StoreError::Unanswered { address, reason: error.to_smolstr() }
             }
-            HttpError::Malformed { reason, .. } => PlatformError::Malformed { address, reason },
+            HttpError::Malformed { reason, .. } => StoreError::Malformed { address, reason },
         }
     }
 }
 
-impl Table for HttpPlatform {
-    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+impl Table for HttpStore {
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError> {
         let question = ReadQuestion { keys: keys.to_vec() };
         let answer: ReadAnswer = self.call(Method::POST, "/table/read", &question).await?;
         if answer.rows.len() != keys.len() {
-            return Err(PlatformError::Malformed {
+            return Err(StoreError::Malformed {
                 address: self.client.address().clone(),
                 reason: "wrong number of rows".into(),
             });
@@ -97,19 +97,19 @@
         prefix: &str,
         after: &str,
         limit: usize,
-    ) -> Result<Vec<(String, Row)>, PlatformError> {
+    ) -> Result<Vec<(String, Row)>, StoreError> {
         let question = ScanQuestion { prefix: prefix.into(), after: after.into(), limit };
         let answer: ScanAnswer = self.call(Method::POST, "/table/scan", &question).await?;
         Ok(answer.rows)
     }
 
-    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError> {
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
         self.call(Method::POST, "/table/commit", transaction).await
     }
 }
 
-impl Objects for HttpPlatform {
-    async fn put(&self, content: Bytes) -> Result<ContentHash, PlatformError> {
+impl Objects for HttpStore {
+    async fn put(&self, content: Bytes) -> Result<ContentHash, StoreError> {
         let hash = ContentHash::of_bytes(&content);
         let store = async {
             let path = format!("/objects/{hash}");
@@ -121,7 +121,7 @@
         Ok(hash)
     }
 
-    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, PlatformError> {
+    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, StoreError> {
         let fetch = async {
             let path = format!("/objects/{hash}");
             let request = self.client.request(Method::GET, &path, Bytes::new())?;
@@ -134,18 +134,18 @@
             Ok(content) => content,
         };
         if ContentHash::of_bytes(&content) != hash {
-            return Err(PlatformError::WrongContent { hash: hash.to_smolstr() });
+            return Err(StoreError::WrongContent { hash: hash.to_smolstr() });
         }
         Ok(Some(content))
     }
 }
 
-impl InstanceList for HttpPlatform {
-    async fn instances(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+impl InstanceList for HttpStore {
+    async fn instances(&self) -> Result<Vec<ListedInstance>, StoreError> {
         self.call(Method::GET, "/instances", &()).await
     }
 
-    async fn register(&self, instance: &ListedInstance) -> Result<(), PlatformError> {
+    async fn register(&self, instance: &ListedInstance) -> Result<(), StoreError> {
         let path = format!("/instances/{}", instance.instance);
         self.call(Method::PUT, &path, instance).await
     }
--- a/src/platform/instance_list.rs
+++ b/src/store/instance_list.rs
@@ -1,10 +1,10 @@
-use crate::platform::{ListedInstance, PlatformError};
+use crate::store::{ListedInstance, StoreError};
 
 /// The platform's list of live and leaving instances. It lags by up to a minute.
 #[allow(async_fn_in_trait)]
 pub trait InstanceList: Clone + 'static {
-    async fn instances(&self) -> Result<Vec<ListedInstance>, PlatformError>;
+    async fn instances(&self) -> Result<Vec<ListedInstance>, StoreError>;
 
     /// Adds or replaces the entry of an instance.
-    async fn register(&self, instance: &ListedInstance) -> Result<(), PlatformError>;
+    async fn register(&self, instance: &ListedInstance) -> Result<(), StoreError>;
 }
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -1,19 +1,19 @@
-//! The platform's services: table, object store and list of instances, behind small traits.
+//! The store: table, object store and list of instances, behind small traits.
 
-mod http_platform;
+mod http_store;
 mod instance_list;
 mod listed_instance;
 mod objects;
-mod platform_error;
 mod row;
+mod store_error;
 mod table;
 mod transaction;
 
-pub use http_platform::{HttpPlatform, ReadAnswer, ReadQuestion, ScanAnswer, ScanQuestion};
+pub use http_store::{HttpStore, ReadAnswer, ReadQuestion, ScanAnswer, ScanQuestion};
 pub use instance_list::InstanceList;
 pub use listed_instance::{ListedInstance, ListedState};
 pub use objects::Objects;
-pub use platform_error::PlatformError;
 pub use row::Row;
+pub use store_error::StoreError;
 pub use table::Table;
 pub use transaction::{CommitOutcome, Condition, Transaction, Write};
--- a/src/platform/objects.rs
+++ b/src/store/objects.rs
@@ -1,13 +1,13 @@
 use bytes::Bytes;
 
-use crate::platform::PlatformError;
+use crate::store::StoreError;
 use crate::units::ContentHash;
 
 /// The platform's object store. Objects are immutable and named by their hash; implementations
 /// verify the hash of what they read.
 #[allow(async_fn_in_trait)]
 pub trait Objects: Clone + 'static {
-    async fn put(&self, content: Bytes) -> Result<ContentHash, PlatformError>;
+    async fn put(&self, content: Bytes) -> Result<ContentHash, StoreError>;
 
-    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, PlatformError>;
+    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, StoreError>;
 }
--- a/src/platform/platform_error.rs
+++ b/src/store/store_error.rs
@@ -3,7 +3,7 @@
 
 /// A failed call to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-pub enum PlatformError {
+pub enum StoreError {
     /// The call certainly had no effect.
     #[display("platform at {address} refused the call: {reason}")]
     Unavailable { address: SmolStr, reason: SmolStr },
--- a/src/platform/table.rs
+++ b/src/store/table.rs
@@ -1,11 +1,11 @@
-use crate::platform::{CommitOutcome, PlatformError, Row, Transaction};
+use crate::store::{CommitOutcome, Row, StoreError, Transaction};
 
 /// The platform's transactional table. A call may be answered late, or its answer may be lost
 /// after the write took effect.
 #[allow(async_fn_in_trait)]
 pub trait Table: Clone + 'static {
     /// Reads rows in one call, in the order of `keys`.
-    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError>;
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError>;
 
     /// Reads at most `limit` rows with the prefix whose keys sort after `after`.
     async fn scan(
@@ -13,8 +13,8 @@
         prefix: &str,
         after: &str,
         limit: usize,
-    ) -> Result<Vec<(String, Row)>, PlatformError>;
+    ) -> Result<Vec<(String, Row)>, StoreError>;
 
     /// Applies all writes if all conditions hold, otherwise none.
-    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError>;
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError>;
 }
--- a/tests/config/fakes.rs
+++ b/tests/config/fakes.rs
@@ -8,7 +8,7 @@
 use almondroad::clock::TokioClock;
 use almondroad::config::{Change, ConfigWitnesses, Configuration, Snapshot, Witness};
 use almondroad::peer::Member;
-use almondroad::platform::{CommitOutcome, Objects, PlatformError, Row, Table, Transaction};
+use almondroad::store::{CommitOutcome, Objects, Row, StoreError, Table, Transaction};
 use almondroad::units::{ContentHash, Incarnation, InstanceId, Version};
 use bytes::Bytes;
 
@@ -68,14 +68,14 @@
         self.shared.borrow().rows.get(key).map(|row| row.value.clone())
     }
 
-    async fn reach(&self) -> Result<(), PlatformError> {
+    async fn reach(&self) -> Result<(), StoreError> {
         tokio::time::sleep(Duration::from_millis(1)).await;
         if self.faults.stalled.get() {
             std::future::pending::<()>().await;
         }
         if self.faults.down.get() {
             let (address, reason) = ("fake".into(), "down".into());
-            return Err(PlatformError::Unavailable { address, reason });
+            return Err(StoreError::Unavailable { address, reason });
         }
         Ok(())
     }
@@ -101,12 +101,12 @@
     }
 }
 
-fn unanswered<T>() -> Result<T, PlatformError> {
-    Err(PlatformError::Unanswered { address: "fake".into(), reason: "lost".into() })
+fn unanswered<T>() -> Result<T, StoreError> {
+    Err(StoreError::Unanswered { address: "fake".into(), reason: "lost".into() })
 }
 
 impl Table for FakeStore {
-    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError> {
         self.reach().await?;
         let rows = {
             let shared = self.shared.borrow();
@@ -123,11 +123,11 @@
         _prefix: &str,
         _after: &str,
         _limit: usize,
-    ) -> Result<Vec<(String, Row)>, PlatformError> {
+    ) -> Result<Vec<(String, Row)>, StoreError> {
         unanswered()
     }
 
-    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError> {
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
         self.reach().await?;
         match self.faults.next_commit.take() {
             CommitFault::None => Ok(self.apply(transaction)),
@@ -153,7 +153,7 @@
 }
 
 impl Objects for FakeStore {
-    async fn put(&self, content: Bytes) -> Result<ContentHash, PlatformError> {
+    async fn put(&self, content: Bytes) -> Result<ContentHash, StoreError> {
         self.reach().await?;
         let hash = ContentHash::of_bytes(&content);
         self.shared.borrow_mut().objects.insert(hash, content);
@@ -161,7 +161,7 @@
         Ok(hash)
     }
 
-    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, PlatformError> {
+    async fn get(&self, hash: ContentHash) -> Result<Option<Bytes>, StoreError> {
         self.reach().await?;
         let found = !self.faults.objects_missing.get();
         Ok(self.shared.borrow().objects.get(&hash).filter(|_| found).cloned())
--- a/tests/heartbeat_size.rs
+++ b/tests/heartbeat_size.rs
@@ -12,7 +12,7 @@
 use almondroad::gateway::{NodePeers, list_period};
 use almondroad::lease::{Holding, Leases, LeasesBuilder};
 use almondroad::peer::Heartbeat;
-use almondroad::platform::HttpPlatform;
+use almondroad::store::HttpStore;
 use almondroad::units::{Fencing, Incarnation, InstanceId, ModelId, RegionId, ShardId};
 use support::membership_sim::{fleet_of, heartbeat, heartbeat_of, member};
 
@@ -25,8 +25,8 @@
 const EXCHANGE_ENVELOPE_BYTES: usize = (13 + 8 + 5) * 8;
 
 /// The leases of an instance that knows the holders of all shards at full size.
-fn leases(shards: usize) -> std::rc::Rc<Leases<HttpPlatform, NodePeers, TokioClock>> {
-    let platform = HttpPlatform::new("127.0.0.1:1");
+fn leases(shards: usize) -> std::rc::Rc<Leases<HttpStore, NodePeers, TokioClock>> {
+    let platform = HttpStore::new("127.0.0.1:1");
     let peers = NodePeers::new(Weak::new());
     let leases = LeasesBuilder::new(member(0), platform, peers, TokioClock::new()).build();
     for number in 0..shards {
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -7,8 +7,8 @@
 use almondroad::gateway::budget_shard;
 use almondroad::http::HttpClient;
 use almondroad::once::{ClaimRow, ClaimState, ExpirySweep, SweepProgress};
-use almondroad::platform::{HttpPlatform, Table, Transaction};
 use almondroad::standin::{PlatformFaults, PlatformSettings, Standin, start_platform};
+use almondroad::store::{HttpStore, Table, Transaction};
 use almondroad::units::{AttemptId, ContentHash, Incarnation, InstanceId, OrganisationId};
 use hyper::Method;
 
@@ -21,10 +21,10 @@
     tokio::task::LocalSet::new().run_until(tokio::time::timeout(LIMIT, test)).await.unwrap();
 }
 
-async fn platform() -> (Standin, HttpPlatform) {
+async fn platform() -> (Standin, HttpStore) {
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let standin = start_platform(listen, PlatformSettings::default()).await.unwrap();
-    let client = HttpPlatform::new(standin.address());
+    let client = HttpStore::new(standin.address());
     (standin, client)
 }
 
@@ -53,13 +53,13 @@
 }
 
 /// Writes a claim of this age and returns its key.
-async fn claim(table: &HttpPlatform, organisation: &OrganisationId, age_s: u64) -> String {
+async fn claim(table: &HttpStore, organisation: &OrganisationId, age_s: u64) -> String {
     let key = ClaimRow::table_key(organisation, &age_s.to_string());
     table.commit(&Transaction::default().put(&key, claim_text(age_s))).await.unwrap();
     key
 }
 
-async fn keys(table: &HttpPlatform) -> BTreeSet<String> {
+async fn keys(table: &HttpStore) -> BTreeSet<String> {
     table.scan("once/", "", 1000).await.unwrap().into_iter().map(|(key, _)| key).collect()
 }
 
@@ -68,7 +68,7 @@
 }
 
 /// Deletes until the end of the rows. Returns the deleted rows of each batch.
-async fn sweep_all(sweep: &mut ExpirySweep, table: &HttpPlatform) -> Vec<usize> {
+async fn sweep_all(sweep: &mut ExpirySweep, table: &HttpStore) -> Vec<usize> {
     let mut batches = Vec::new();
     while let SweepProgress::Deleted(count) = sweep.step(table, NOW_S, || true).await.unwrap() {
         batches.push(count);
--- a/tests/standin/helpers.rs
+++ b/tests/standin/helpers.rs
@@ -8,11 +8,11 @@
     PrefillSource, TokenStream,
 };
 use almondroad::http::HttpClient;
-use almondroad::platform::HttpPlatform;
 use almondroad::standin::{
     EngineSettings, PlatformSettings, Standin, expected_length, expected_token, start_engine,
     start_platform,
 };
+use almondroad::store::HttpStore;
 use almondroad::units::{AttemptId, Incarnation, InstanceId, ModelId, Tokens};
 use hyper::Method;
 use tokio::time::timeout;
@@ -38,9 +38,9 @@
     (standin, client)
 }
 
-pub async fn platform(settings: PlatformSettings) -> (Standin, HttpPlatform) {
+pub async fn platform(settings: PlatformSettings) -> (Standin, HttpStore) {
     let standin = start_platform(any_port(), settings).await.unwrap();
-    let client = HttpPlatform::new(standin.address());
+    let client = HttpStore::new(standin.address());
     (standin, client)
 }
 
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
-use almondroad::platform::{
-    CommitOutcome, InstanceList, ListedInstance, ListedState, Objects, PlatformError, Table,
+use almondroad::standin::{PlatformFaults, PlatformSettings, PlatformStats};
+use almondroad::store::{
+    CommitOutcome, InstanceList, ListedInstance, ListedState, Objects, StoreError, Table,
     Transaction,
 };
-use almondroad::standin::{PlatformFaults, PlatformSettings, PlatformStats};
 use almondroad::units::{Incarnation, InstanceId, RegionId, ZoneId};
 use tokio::time::sleep;
 
@@ -24,7 +24,7 @@
             set_faults(&standin, &faults).await;
             let key = format!("k/{hang}");
             let lost = client.commit(&Transaction::default().put(&key, "v")).await;
-            assert!(matches!(lost, Err(PlatformError::Unanswered { .. })), "{lost:?}");
+            assert!(matches!(lost, Err(StoreError::Unanswered { .. })), "{lost:?}");
             set_faults(&standin, &PlatformFaults::default()).await;
             let rows = client.read(&[key]).await.unwrap();
             assert_eq!(rows[0].as_ref().unwrap().value, "v");
@@ -66,7 +66,7 @@
             PlatformFaults { apply_late_ms: 1200, stale_read: true, ..PlatformFaults::default() };
         set_faults(&standin, &faults).await;
         let late = client.commit(&Transaction::default().put("k", "new")).await;
-        assert!(matches!(late, Err(PlatformError::Unanswered { .. })), "{late:?}");
+        assert!(matches!(late, Err(StoreError::Unanswered { .. })), "{late:?}");
         sleep(Duration::from_millis(500)).await;
         let value = async || client.read(&["k".into()]).await.unwrap()[0].clone().unwrap().value;
         assert_eq!(value().await, "old");
@@ -84,7 +84,7 @@
         let (standin, client) = platform(settings).await;
         let put = Transaction::default().put("lease/a", "1");
         set_faults(&standin, &PlatformFaults { down: true, ..PlatformFaults::default() }).await;
-        assert!(matches!(client.commit(&put).await, Err(PlatformError::Unavailable { .. })));
+        assert!(matches!(client.commit(&put).await, Err(StoreError::Unavailable { .. })));
         set_faults(&standin, &PlatformFaults::default()).await;
         let mut applied = 0;
         for _ in 0..20 {
--- a/tests/support/lease_sim.rs
+++ b/tests/support/lease_sim.rs
@@ -12,7 +12,7 @@
 use almondroad::clock::{Clock, Instant};
 use almondroad::lease::{LeaseClaim, LeaseEvent, LeaseRow, Leases, LeasesBuilder, Witnesses};
 use almondroad::peer::Member;
-use almondroad::platform::{CommitOutcome, PlatformError, Row, Table, Transaction};
+use almondroad::store::{CommitOutcome, Row, StoreError, Table, Transaction};
 use almondroad::units::{Fencing, Incarnation, InstanceId, ShardId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -300,12 +300,12 @@
         node: usize,
         is_write: bool,
         run: impl FnOnce(&World) -> A + 'static,
-    ) -> Result<A, PlatformError> {
+    ) -> Result<A, StoreError> {
         let fault = self.table_fault.get().filter(|(_, until)| self.now_ms() < *until);
         let (before_ms, after_ms, is_answered) = match fault.map(|(fault, _)| fault) {
             Some(TableFault::Refuses) => {
                 let reason = "down".into();
-                return Err(PlatformError::Unavailable { address: "table".into(), reason });
+                return Err(StoreError::Unavailable { address: "table".into(), reason });
             }
             Some(TableFault::Silent) => return std::future::pending().await,
             Some(TableFault::LosesAnswers) => (0, 0, false),
@@ -352,7 +352,7 @@
 }
 
 impl Table for Site {
-    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+    async fn read(&self, keys: &[String]) -> Result<Vec<Option<Row>>, StoreError> {
         let keys = keys.to_vec();
         let read = move |world: &World| {
             let rows = world.rows.borrow();
@@ -361,11 +361,11 @@
         self.world.call(self.node, false, read).await
     }
 
-    async fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<(String, Row)>, PlatformError> {
+    async fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<(String, Row)>, StoreError> {
         unreachable!("leases do not scan")
     }
 
-    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, PlatformError> {
+    async fn commit(&self, transaction: &Transaction) -> Result<CommitOutcome, StoreError> {
         let transaction = transaction.clone();
         self.world.call(self.node, true, move |world| world.apply(&transaction)).await
     }
--- a/tests/support/membership_sim.rs
+++ b/tests/support/membership_sim.rs
@@ -5,7 +5,7 @@
 use almondroad::clock::TokioClock;
 use almondroad::config::Confirmation;
 use almondroad::peer::{Digest, Heartbeat, Member, Membership};
-use almondroad::platform::{ListedInstance, ListedState};
+use almondroad::store::{ListedInstance, ListedState};
 use almondroad::units::{Incarnation, InstanceId, RegionId, ZoneId};
 
 pub type View = Membership<TokioClock>;
