--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -18,8 +18,6 @@
 const DEFAULT_ANSWER_MS: f64 = 60.0;
 /// Expected wait that is accepted to stay in a zone.
 const OTHER_ZONE_MS: f64 = 25.0;
-/// Part of a decode engine's memory that is filled on purpose.
-const MEMORY_PART: f64 = 0.92;
 /// Expected time that equally good endpoints may differ by, so that instances with the same view
 /// do not all choose the same one.
 const SPREAD_MS: f64 = 4.0;
@@ -44,6 +42,8 @@
     pub memory_tokens: u64,
     /// Prompt tokens that the decode engine has to read itself.
     pub prompt_tokens: u64,
+    /// Part of the engines' memory that may be filled.
+    pub fill_part: f64,
     /// Zone of the engine that holds the KV cache.
     pub near: Option<&'a ZoneId>,
     pub engine: EngineTraits,
@@ -150,6 +150,13 @@
         }
     }
 
+    /// Notes that a running request takes more than was told at its begin.
+    pub fn grow(&mut self, id: &EndpointId, more: &Load) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.own.add(more);
+        }
+    }
+
     /// Notes that a part of a request's work at an endpoint has ended.
     pub fn end(&mut self, id: &EndpointId, load: &Load) {
         if let Some(state) = self.endpoints.get_mut(id) {
@@ -246,14 +253,15 @@
     ) -> Result<Placement, Shortage> {
         let token_ms = self.prefill_token_ms(query.service) * DECODE_READ_FACTOR;
         let zone = query.near.unwrap_or(&self.zone).clone();
-        let capacity = query.engine.kv_capacity.get() as f64 * MEMORY_PART;
+        let capacity = query.engine.kv_capacity.get() as f64 * query.fill_part;
         let slots = f64::from(query.engine.slots.max(1));
         let role = Some(EndpointRole::Decode);
         self.choose(query.service, role, query.excluded, now, |state| {
             let load = state.load();
             let memory = (load.memory_tokens + query.memory_tokens) as f64;
             let is_alone = load.requests == 0;
-            if (memory > capacity && !is_alone) || f64::from(load.requests) >= slots {
+            let fits = memory <= capacity && state.fits_after_refusal(query.memory_tokens, now);
+            if (!fits && !is_alone) || f64::from(load.requests) >= slots {
                 return None;
             }
             let away_ms = if state.endpoint.zone == zone { 0.0 } else { OTHER_ZONE_MS };
@@ -322,7 +330,7 @@
             let is_tried = state.health.is_on_trial() && state.own.requests > 0;
             let is_cold_full = state.is_cold(now)
                 && cold_limit.is_some_and(|limit| state.cold_sends(now) as f64 >= limit);
-            if is_tried || is_cold_full || now < state.full_until {
+            if is_tried || is_cold_full || now < state.paused_until {
                 shortage = Shortage::AllFull;
                 continue;
             }
--- a/src/balance/endpoint_state.rs
+++ b/src/balance/endpoint_state.rs
@@ -8,6 +8,10 @@
 
 /// Weight of the newest measurement in the averages.
 const AVERAGE_WEIGHT: f64 = 0.15;
+/// Time for which a refusal for lack of memory bounds what the endpoint is given.
+const FULL_MS: u64 = 1_500;
+/// Memory that others may have freed since the refusal, for each ms.
+const FREED_TOKENS_PER_MS: u64 = 4;
 /// Span in which sends to a cold endpoint are counted.
 const COLD_WINDOW_MS: u64 = 1_000;
 
@@ -24,8 +28,10 @@
     pub key: u32,
     /// Average time of an answer; `None` before the first.
     answer_ms: Option<f64>,
-    /// The endpoint refused a request as full and is not asked again before then.
-    pub full_until: Instant,
+    /// The endpoint is not asked before then.
+    pub paused_until: Instant,
+    /// When the endpoint refused a request as full, and the memory that was reserved there then.
+    full: Option<(Instant, u64)>,
     cold_sends: VecDeque<Instant>,
 }
 
@@ -39,11 +45,26 @@
             peers: Load::default(),
             key,
             answer_ms: None,
-            full_until: Instant::default(),
+            paused_until: Instant::default(),
+            full: None,
             cold_sends: VecDeque::new(),
         }
     }
 
+    /// Notes that the endpoint had no room. What is reserved there is then less than what it
+    /// holds, since outputs were longer than guessed or peers' requests are not known yet.
+    pub fn note_full(&mut self, now: Instant) {
+        self.full = Some((now, self.load().memory_tokens));
+    }
+
+    /// Whether the memory fits, as far as the last refusal tells.
+    pub fn fits_after_refusal(&self, needed_tokens: u64, now: Instant) -> bool {
+        let Some((refused_at, reserved)) = self.full else { return true };
+        let elapsed_ms = now.ms_since(refused_at);
+        let limit = reserved + elapsed_ms * FREED_TOKENS_PER_MS;
+        elapsed_ms > FULL_MS || self.load().memory_tokens + needed_tokens <= limit
+    }
+
     pub fn load(&self) -> Load {
         let mut load = self.own;
         load.add(&self.peers);
--- a/src/balance/waiting_line.rs
+++ b/src/balance/waiting_line.rs
@@ -10,7 +10,8 @@
 const PLACED_WINDOW_MS: u64 = 2_000;
 
 /// Requests that wait for an endpoint, in the order in which they are placed: those that can
-/// still be on time first, by the moment they are due; then the late ones, oldest first.
+/// still be on time first, by the moment they are due, larger ones behind smaller ones; then the
+/// late ones, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingLine {
     state: Rc<RefCell<State>>,
@@ -20,11 +21,17 @@
 #[derive(Debug, Default)]
 struct State {
     next_number: u64,
-    waiting: BTreeMap<u64, Instant>,
+    waiting: BTreeMap<u64, Waiting>,
     /// Recent placements, oldest first.
     placed: VecDeque<Instant>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    due_at: Instant,
+    handicap_ms: u64,
+}
+
 /// A request's place in the line, given up when it is dropped.
 #[derive(Debug)]
 pub struct Ticket {
@@ -34,12 +41,12 @@
 
 impl WaitingLine {
     /// Joins the line. `due_at` is the last moment at which placing the request makes it be on
-    /// time.
-    pub fn join(&self, due_at: Instant) -> Ticket {
+    /// time; `handicap_ms` puts a request that takes more than others behind them.
+    pub fn join(&self, due_at: Instant, handicap_ms: u64) -> Ticket {
         let mut state = self.state.borrow_mut();
         let number = state.next_number;
         state.next_number += 1;
-        state.waiting.insert(number, due_at);
+        state.waiting.insert(number, Waiting { due_at, handicap_ms });
         Ticket { line: self.clone(), number }
     }
 
@@ -77,9 +84,10 @@
     /// Whether the request is the next one to be placed.
     pub fn is_next(&self, now: Instant) -> bool {
         let state = self.line.state.borrow();
-        let first = state.waiting.iter().min_by_key(|(number, due_at)| {
-            let is_late = **due_at < now;
-            (is_late, if is_late { Instant::default() } else { **due_at }, **number)
+        let first = state.waiting.iter().min_by_key(|(number, waiting)| {
+            let is_late = waiting.due_at < now;
+            let rank = waiting.due_at.plus_ms(waiting.handicap_ms);
+            (is_late, if is_late { Instant::default() } else { rank }, **number)
         });
         first.is_some_and(|(number, _)| *number == self.number)
     }
--- a/src/catalog/service.rs
+++ b/src/catalog/service.rs
@@ -15,6 +15,8 @@
 pub struct EngineTraits {
     pub slots: u32,
     pub kv_capacity: Tokens,
+    /// Output tokens in an event of a stream.
+    pub event_tokens: u64,
     /// Time for which the KV cache of a prefill is kept until a decode engine takes it.
     pub handle_ms: u64,
 }
--- a/src/forward/event_splitter.rs
+++ b/src/forward/event_splitter.rs
@@ -6,6 +6,7 @@
 pub struct EventSplitter {
     pending: BytesMut,
     last_event: Option<u64>,
+    events: u64,
 }
 
 impl EventSplitter {
@@ -24,6 +25,11 @@
         self.last_event
     }
 
+    /// Number of whole events so far.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Whether bytes are left that belong to no whole event.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
@@ -35,6 +41,7 @@
     }
 
     fn note_ids(&mut self, events: &[u8]) {
+        self.events += events.windows(2).filter(|pair| *pair == b"\n\n").count() as u64;
         let lines = events.rsplit(|byte| *byte == b'\n');
         let id = lines
             .filter_map(|line| line.strip_prefix(b"id:"))
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -238,8 +238,8 @@
         let mut balancer = self.parts.balancer.borrow_mut();
         if let Some(state) = balancer.endpoint_mut(&leg_endpoint.id) {
             match error {
-                LegError::NotRun => state.full_until = now.plus_ms(FULL_MS),
-                LegError::WrongEndpoint => state.full_until = now.plus_ms(WRONG_ENDPOINT_MS),
+                LegError::NotRun => state.paused_until = now.plus_ms(FULL_MS),
+                LegError::WrongEndpoint => state.paused_until = now.plus_ms(WRONG_ENDPOINT_MS),
                 _ => state.health.note_failure(now),
             }
         }
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -16,6 +16,7 @@
 use crate::forward::stream_relay::relay;
 use crate::forward::{Codec, EventSplitter, Forwarder, KvSource, Leg, LegError, Refusal, Stage};
 use crate::http::ResponseBody;
+use crate::units::EndpointId;
 
 /// Time beyond the expected one after which a prompt is read by another engine.
 const PREFILL_PATIENCE_MS: u64 = 450;
@@ -27,6 +28,13 @@
 /// Longest time for which a request waits for an engine. Callers give a stream up that has not
 /// begun after four times its target, 3.6 s on today's deployments.
 const MAX_HOLD_MS: u64 = 2_400;
+/// Part of a decode engine's memory that is filled on purpose, and the part up to which requests
+/// are placed that are late anyway: room is then left for those that can be on time.
+const FILL_PART: f64 = 0.92;
+const LATE_FILL_PART: f64 = 0.75;
+/// How far a request is put back in line for each token that it is expected to generate. Its
+/// memory is held for as long as it generates.
+const HANDICAP_MS_PER_TOKEN: f64 = 0.3;
 /// Pause between looks at the engines while a request waits.
 const LINE_LOOK_MS: u64 = 30;
 /// Usual time from the placement of a request to its first event.
@@ -135,6 +143,9 @@
             match self.decode(scope, plan, source, last_event).await {
                 Ok(opened) => return Ok(opened),
                 Err(error) => {
+                    if error == LegError::NotRun {
+                        self.note_full(&endpoint.id);
+                    }
                     self.note_leg_failure(scope, &endpoint, &error);
                     if !error.is_not_run() {
                         scope.charge.has_run = true;
@@ -149,6 +160,13 @@
         }
     }
 
+    fn note_full(&self, endpoint: &EndpointId) {
+        let now = self.parts.clock.now();
+        if let Some(state) = self.parts.balancer.borrow_mut().endpoint_mut(endpoint) {
+            state.note_full(now);
+        }
+    }
+
     /// Finds engines for a generation and reserves the decode engine's memory for it. Waits in
     /// line while all engines are full, for as long as that can still serve the caller.
     async fn place(
@@ -164,11 +182,13 @@
             return Err(self.unplaced(scope));
         }
         let target_ms = scope.route.target_latency_ms.saturating_sub(USUAL_FIRST_EVENT_MS);
-        let ticket = line.join(arrived_at.plus_ms(target_ms));
+        let due_at = arrived_at.plus_ms(target_ms);
+        let ticket = line.join(due_at, handicap_ms(scope));
         loop {
             let now = self.parts.clock.now();
             if ticket.is_next(now) || prefill.is_some() {
-                match self.plan(scope, prefill, now) {
+                let fill_part = if now > due_at { LATE_FILL_PART } else { FILL_PART };
+                match self.plan(scope, prefill, fill_part, now) {
                     Ok(plan) => {
                         line.note_placed(now);
                         return Ok(plan);
@@ -191,6 +211,7 @@
         &self,
         scope: &RequestScope<C>,
         prefill: Option<&Prefill>,
+        fill_part: f64,
         now: Instant,
     ) -> Result<Plan, Shortage> {
         let engine = scope.service.engine.ok_or(Shortage::NoEndpoint)?;
@@ -200,6 +221,7 @@
             service: &scope.service.id,
             memory_tokens: memory_tokens(scope),
             prompt_tokens: 0,
+            fill_part,
             near: prefill.map(|prefill| &prefill.zone),
             engine,
             excluded: &scope.excluded,
@@ -430,6 +452,13 @@
     scope.request.generation.as_ref().map_or(0, |size| size.prompt_tokens)
 }
 
+/// How far a request is put behind smaller ones that wait.
+fn handicap_ms<C: Clock>(scope: &RequestScope<C>) -> u64 {
+    let size = scope.request.generation.as_ref();
+    let tokens = size.and_then(|size| size.expected_output_tokens).unwrap_or(0);
+    (tokens as f64 * HANDICAP_MS_PER_TOKEN) as u64
+}
+
 /// Memory that a generation is expected to reach.
 fn memory_tokens<C: Clock>(scope: &RequestScope<C>) -> u64 {
     let Some(size) = &scope.request.generation else { return 0 };
--- a/src/forward/request_scope.rs
+++ b/src/forward/request_scope.rs
@@ -73,6 +73,16 @@
         LoadGuard { balancer: Rc::clone(balancer), endpoint: endpoint.clone(), load }
     }
 
+    /// Notes that the request takes more memory than was set aside for it.
+    pub fn grow_to(&mut self, memory_tokens: u64) {
+        let more = memory_tokens.saturating_sub(self.load.memory_tokens);
+        if more > 0 {
+            let grown = Load { memory_tokens: more, ..Load::default() };
+            self.balancer.borrow_mut().grow(&self.endpoint, &grown);
+            self.load.memory_tokens += more;
+        }
+    }
+
     /// Notes that the endpoint has read the prompt.
     pub fn note_prompt_read(&mut self) {
         let read = Load { prompt_tokens: self.load.prompt_tokens, ..Load::default() };
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -8,7 +8,7 @@
 use crate::clock::Clock;
 use crate::forward::generate::{OpenStream, Opened};
 use crate::forward::request_scope::RequestScope;
-use crate::forward::{Codec, Forwarder, LegError};
+use crate::forward::{Codec, EventSplitter, Forwarder, LegError};
 use crate::http::BrokenStream;
 
 /// Pauses of the longest allowed length after which a stream that may be resumed goes on at
@@ -127,9 +127,9 @@
             }
             Ok(Some(Ok(frame))) => {
                 let whole = frame.data_ref().and_then(|data| stream.splitter.push(data));
-                if let Some(whole) = whole
-                    && events.send(Ok(whole)).await.is_err()
-                {
+                let Some(whole) = whole else { continue };
+                stream.load.grow_to(memory_used(scope, &stream.splitter));
+                if events.send(Ok(whole)).await.is_err() {
                     return Ended::CallerGone;
                 }
             }
@@ -140,3 +140,10 @@
     }
     Ended::Complete
 }
+
+/// Memory that a running generation holds.
+fn memory_used<C: Clock>(scope: &RequestScope<C>, splitter: &EventSplitter) -> u64 {
+    let prompt = scope.request.generation.as_ref().map_or(0, |size| size.prompt_tokens);
+    let event_tokens = scope.service.engine.map_or(1, |engine| engine.event_tokens);
+    prompt + splitter.events() * event_tokens
+}
