Set decode memory aside at the engine before the prompt is read

Engines go on with requests whose answers were lost and several instances count on the same memory, so that reservations kept by instances are too low.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -112,12 +112,26 @@
             }
         }
         self.remove(&endpoint.id);
-        // An address belongs to the endpoint that registered last.
+        self.remove_former(endpoint);
         let state = EndpointState::new(Rc::clone(endpoint));
         self.by_service.entry(endpoint.service.clone()).or_default().push(endpoint.id.clone());
         self.endpoints.insert(endpoint.id.clone(), state);
     }
 
+    /// Removes the endpoint that had the address before. Its entry lapses only some seconds later.
+    fn remove_former(&mut self, endpoint: &Endpoint) {
+        let former = self.endpoints.values().filter(|state| {
+            state.endpoint.address == endpoint.address
+                && state.endpoint.born_unix_ms <= endpoint.born_unix_ms
+        });
+        let former: Vec<EndpointId> = former.map(|state| state.endpoint.id.clone()).collect();
+        for id in former {
+            log::info!(target: "balance", endpoint = id.as_str(),
+                successor = endpoint.id.as_str(); "address taken over");
+            self.remove(&id);
+        }
+    }
+
     fn remove(&mut self, id: &EndpointId) {
         if let Some(state) = self.endpoints.remove(id)
             && let Some(ids) = self.by_service.get_mut(&state.endpoint.service)
--- a/src/balance/endpoint_state.rs
+++ b/src/balance/endpoint_state.rs
@@ -10,8 +10,10 @@
 const AVERAGE_WEIGHT: f64 = 0.15;
 /// Time for which a refusal for lack of memory bounds what the endpoint is given.
 const FULL_MS: u64 = 1_500;
+/// Time for which it is not asked at all after such a refusal.
+const FULL_PAUSE_MS: u64 = 40;
 /// Memory that others may have freed since the refusal, for each ms.
-const FREED_TOKENS_PER_MS: u64 = 4;
+const FREED_TOKENS_PER_MS: u64 = 10;
 /// Span in which sends to a cold endpoint are counted.
 const COLD_WINDOW_MS: u64 = 1_000;
 
@@ -55,6 +57,7 @@
     /// holds, since outputs were longer than guessed or peers' requests are not known yet.
     pub fn note_full(&mut self, now: Instant) {
         self.full = Some((now, self.load().memory_tokens));
+        self.paused_until = now.plus_ms(FULL_PAUSE_MS);
     }
 
     /// Whether the memory fits, as far as the last refusal tells.
--- a/src/forward/codec.rs
+++ b/src/forward/codec.rs
@@ -5,6 +5,7 @@
 use hyper::{HeaderMap, Request};
 use smol_str::SmolStr;
 
+use crate::catalog::Endpoint;
 use crate::clock::Instant;
 use crate::forward::{CallerRequest, KvSource, Leg};
 
@@ -44,6 +45,20 @@
     /// Request that frees a KV cache.
     fn release_request(&self, source: &KvSource) -> Option<Request<Full<Bytes>>>;
 
+    /// Request that sets memory aside at an endpoint.
+    fn hold_request(
+        &self,
+        endpoint: &Endpoint,
+        tokens: u64,
+        ttl_ms: u64,
+    ) -> Option<Request<Full<Bytes>>>;
+
+    /// The name of the memory that was set aside.
+    fn read_hold(&self, body: &[u8]) -> Option<SmolStr>;
+
+    /// Request that gives up memory that was set aside.
+    fn drop_hold_request(&self, endpoint: &Endpoint, hold: &str) -> Option<Request<Full<Bytes>>>;
+
     fn answer_kind(&self, head: &response::Parts, request: &CallerRequest) -> AnswerKind;
 
     fn read_prefilled(&self, body: &[u8]) -> Option<Prefilled>;
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -21,10 +21,14 @@
 use crate::quota::Quotas;
 use crate::units::{ServiceId, Tokens};
 
-/// Shortest time after which a caller is told to come back, and the width of the span over which
-/// callers are spread so that they do not return together.
+/// Shortest time after which a caller of a plain service is told to come back, and the width of
+/// the span over which callers are spread so that they do not return together.
 const RETRY_AFTER_MS: u64 = 250;
 const RETRY_AFTER_SPREAD_MS: u64 = 500;
+/// The same for a generation. Engines that are full stay so for as long as a burst lasts, some
+/// seconds, since every generation holds its memory for seconds.
+const GENERATION_RETRY_AFTER_MS: u64 = 2_000;
+const GENERATION_RETRY_AFTER_SPREAD_MS: u64 = 2_500;
 /// Time beyond a request's deadline in which an endpoint's own answer to it may still arrive.
 const ANSWER_SLACK_MS: u64 = 150;
 
@@ -99,7 +103,7 @@
         }
         let service = route.pick_service(rand::rng().random());
         let service = service.and_then(|id| configuration.service(id));
-        let service = Rc::clone(service.ok_or_else(|| self.no_capacity())?);
+        let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
         let limits = configuration.limits();
         request.body = read_body(body, limits.body_bytes, limits.arrival_ms).await?;
         let crashes = parts.crashes.borrow();
@@ -188,9 +192,15 @@
         self.lines.borrow_mut().entry(service.clone()).or_default().clone()
     }
 
-    pub(super) fn no_capacity(&self) -> Refusal {
-        let spread_ms = rand::rng().random_range(0..RETRY_AFTER_SPREAD_MS);
-        Refusal::NoCapacity { retry_after_ms: RETRY_AFTER_MS + spread_ms }
+    pub(super) fn no_capacity(&self, kind: RouteKind) -> Refusal {
+        let (least_ms, spread_ms) = match kind {
+            RouteKind::Stream { .. } => {
+                (GENERATION_RETRY_AFTER_MS, GENERATION_RETRY_AFTER_SPREAD_MS)
+            }
+            _ => (RETRY_AFTER_MS, RETRY_AFTER_SPREAD_MS),
+        };
+        let spread_ms = rand::rng().random_range(0..spread_ms);
+        Refusal::NoCapacity { retry_after_ms: least_ms + spread_ms }
     }
 
     /// Sends a leg and returns the head of the endpoint's own answer, before `until`.
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -6,10 +6,11 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
+use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
 use crate::balance::{DecodeQuery, Load, Placement, PrefillQuery, Shortage};
-use crate::catalog::{EngineTraits, RowDecoder};
+use crate::catalog::{Endpoint, EngineTraits, RowDecoder};
 use crate::clock::{Clock, Instant};
 use crate::forward::connection::Connection;
 use crate::forward::request_scope::{LoadGuard, RequestScope};
@@ -32,6 +33,10 @@
 /// are placed that are late anyway: room is then left for those that can be on time.
 const FILL_PART: f64 = 0.92;
 const LATE_FILL_PART: f64 = 0.75;
+/// Time for which memory is set aside: longer than a prompt takes to be read in a crowd.
+const HOLD_TTL_MS: u64 = 1_500;
+/// Time for an engine to answer that it has set memory aside.
+const HOLD_TIMEOUT_MS: u64 = 250;
 /// How far a request is put back in line for each token that it is expected to generate. Its
 /// memory is held for as long as it generates.
 const HANDICAP_MS_PER_TOKEN: f64 = 0.3;
@@ -72,6 +77,13 @@
     decode: Placement,
     /// Memory at the decode engine.
     load: LoadGuard,
+    /// The same memory, set aside at the engine itself.
+    hold: Option<Hold>,
+}
+
+/// Memory that was set aside at an engine.
+struct Hold {
+    name: SmolStr,
 }
 
 /// A prompt whose KV cache waits at an engine.
@@ -124,18 +136,21 @@
                 return Err(self.expired(scope));
             }
             prefill = prefill.filter(|prefill| now < prefill.usable_until);
-            let plan = self.place(scope, prefill.as_ref()).await?;
+            let mut plan = self.place(scope, prefill.as_ref()).await?;
             if let Some(placement) = &plan.prefill {
                 if !is_first_prefill && !self.take_send(scope) {
+                    self.drop_hold(&plan.decode.endpoint, plan.hold.take());
                     return Err(self.unplaced(scope));
                 }
                 is_first_prefill = false;
                 prefill = self.prefill(scope, placement).await;
                 if prefill.is_none() {
+                    self.drop_hold(&plan.decode.endpoint, plan.hold.take());
                     continue;
                 }
             }
             if !self.take_send(scope) {
+                self.drop_hold(&plan.decode.endpoint, plan.hold.take());
                 return Err(self.unplaced(scope));
             }
             let source = prefill.as_ref().map(|prefill| prefill.source.clone());
@@ -171,7 +186,7 @@
     /// line while all engines are full, for as long as that can still serve the caller.
     async fn place(
         &self,
-        scope: &RequestScope<C>,
+        scope: &mut RequestScope<C>,
         prefill: Option<&Prefill>,
     ) -> Result<Plan, Refusal> {
         let line = self.line(&scope.service.id);
@@ -190,8 +205,11 @@
                 let fill_part = if now > due_at { LATE_FILL_PART } else { FILL_PART };
                 match self.plan(scope, prefill, fill_part, now) {
                     Ok(plan) => {
-                        line.note_placed(now);
-                        return Ok(plan);
+                        if let Some(plan) = self.hold_memory(scope, plan).await {
+                            line.note_placed(now);
+                            return Ok(plan);
+                        }
+                        continue;
                     }
                     Err(Shortage::NoEndpoint) => return Err(self.unplaced(scope)),
                     Err(Shortage::AllAvoided { .. } | Shortage::AllFull) => {}
@@ -206,6 +224,83 @@
         }
     }
 
+    /// Sets the decode engine's memory aside before the prompt is read. Several instances may count
+    /// on the same memory, and an engine goes on with requests whose answers were lost, so that
+    /// only the engine knows what is left. `None` if it has none left.
+    async fn hold_memory(&self, scope: &mut RequestScope<C>, mut plan: Plan) -> Option<Plan> {
+        let endpoint = Rc::clone(&plan.decode.endpoint);
+        let held = self.exchange_hold(&endpoint, memory_tokens(scope)).await;
+        let code = match &held {
+            Ok(Some(_)) => "held",
+            Ok(None) => "full",
+            Err(error) => error.code(),
+        };
+        scope.log.note_send("hold", endpoint.id.as_str(), code);
+        match held {
+            Ok(Some(name)) => {
+                plan.hold = Some(Hold { name });
+                Some(plan)
+            }
+            Ok(None) => {
+                drop(plan);
+                self.note_full(&endpoint.id);
+                None
+            }
+            Err(error) => {
+                drop(plan);
+                let now = self.parts.clock.now();
+                let mut balancer = self.parts.balancer.borrow_mut();
+                if let Some(state) = balancer.endpoint_mut(&endpoint.id) {
+                    log::info!(target: "forward", endpoint = endpoint.id.as_str(),
+                        error = error.to_string().as_str(); "memory not set aside");
+                    state.health.note_failure(now);
+                }
+                None
+            }
+        }
+    }
+
+    async fn exchange_hold(
+        &self,
+        endpoint: &Endpoint,
+        tokens: u64,
+    ) -> Result<Option<SmolStr>, LegError> {
+        let request = self.parts.codec.hold_request(endpoint, tokens, HOLD_TTL_MS);
+        let request =
+            request.ok_or(LegError::NotSent { reason: "the hold cannot be written".into() })?;
+        let exchange = async {
+            let sent = self.parts.connections.send(endpoint.address, request).await?;
+            let (connection, response) = sent;
+            let (head, body) = response.into_parts();
+            let body = body.collect().await;
+            let body =
+                body.map_err(|error| LegError::Broken { reason: error.to_string().into() })?;
+            self.parts.connections.give_back(connection, &head.headers);
+            if head.status != StatusCode::OK {
+                return Ok(None);
+            }
+            Ok(self.parts.codec.read_hold(&body.to_bytes()))
+        };
+        let limit = Duration::from_millis(HOLD_TIMEOUT_MS);
+        tokio::time::timeout(limit, exchange).await.map_err(|_| LegError::Timeout)?
+    }
+
+    /// Gives up memory that was set aside and is not used.
+    fn drop_hold(&self, endpoint: &Endpoint, hold: Option<Hold>) {
+        let Some(hold) = hold else { return };
+        let Some(request) = self.parts.codec.drop_hold_request(endpoint, &hold.name) else {
+            return;
+        };
+        let (connections, address) = (Rc::clone(&self.parts.connections), endpoint.address);
+        tokio::task::spawn_local(async move {
+            let limit = Duration::from_millis(HOLD_TIMEOUT_MS);
+            let sent = tokio::time::timeout(limit, connections.send(address, request)).await;
+            if !matches!(sent, Ok(Ok(_))) {
+                log::info!(target: "forward", "memory set aside at {address} lapses by itself");
+            }
+        });
+    }
+
     /// Chooses between a prefill engine and a decode engine that reads the prompt itself.
     fn plan(
         &self,
@@ -262,7 +357,7 @@
             memory_tokens: memory_tokens(scope),
         };
         let load = LoadGuard::begin(&self.parts.balancer, &decode.endpoint.id, load, now);
-        Plan { prefill, decode, load }
+        Plan { prefill, decode, load, hold: None }
     }
 
     /// Has the prompt read. A failure excludes the engine.
@@ -313,13 +408,14 @@
         scope: &RequestScope<C>,
         placement: &Placement,
         until: Instant,
-    ) -> Result<smol_str::SmolStr, LegError> {
+    ) -> Result<SmolStr, LegError> {
         let leg = Leg {
             request: &scope.request,
             organisation: scope.organisation(),
             endpoint: &placement.endpoint,
             stage: Stage::Prefill,
             last_event: None,
+            hold: None,
             deadline: scope.deadline,
         };
         let (connection, response) = self.send_leg(&leg, until).await?;
@@ -346,7 +442,7 @@
     ) -> Result<Opened, LegError> {
         let now = self.parts.clock.now();
         let reads_prompt = source.is_none();
-        let Plan { decode: placement, load, .. } = plan;
+        let Plan { decode: placement, load, hold, .. } = plan;
         let endpoint = &placement.endpoint;
         let may_send_again =
             scope.route.kind.may_repeat() && scope.runs + 1 < scope.route.max_endpoints;
@@ -358,7 +454,8 @@
         };
         let stage = source.map_or(Stage::Whole, Stage::Decode);
         let name = if reads_prompt { "whole" } else { "decode" };
-        let result = self.exchange_decode(scope, &placement, stage, last_event, load, until).await;
+        let result =
+            self.exchange_decode(scope, &placement, stage, last_event, load, hold, until).await;
         let code = result.as_ref().map_or_else(|error| error.code(), |_| "started");
         scope.log.note_send(name, endpoint.id.as_str(), code);
         if result.is_ok() {
@@ -382,6 +479,7 @@
         stage: Stage,
         last_event: Option<u64>,
         mut load: LoadGuard,
+        hold: Option<Hold>,
         until: Instant,
     ) -> Result<Opened, LegError> {
         let leg = Leg {
@@ -390,6 +488,7 @@
             endpoint: &placement.endpoint,
             stage,
             last_event,
+            hold: hold.as_ref().map(|hold| hold.name.as_str()),
             deadline: scope.deadline,
         };
         let (connection, response) = self.send_leg(&leg, until).await?;
--- a/src/forward/leg.rs
+++ b/src/forward/leg.rs
@@ -32,6 +32,8 @@
     pub organisation: Option<&'a OrganisationId>,
     pub endpoint: &'a Endpoint,
     pub stage: Stage,
+    /// Memory that was set aside for the request.
+    pub hold: Option<&'a str>,
     /// Id of the last event that need not be sent again.
     pub last_event: Option<u64>,
     pub deadline: Instant,
--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -82,7 +82,7 @@
 
     /// The refusal of a request that no endpoint can take.
     pub(super) fn unplaced(&self, scope: &RequestScope<C>) -> Refusal {
-        if scope.runs > 0 { Refusal::AnswerLost } else { self.no_capacity() }
+        if scope.runs > 0 { Refusal::AnswerLost } else { self.no_capacity(scope.route.kind) }
     }
 
     async fn send_plain(
@@ -144,6 +144,7 @@
             endpoint: &placement.endpoint,
             stage: Stage::Whole,
             last_event: None,
+            hold: None,
             deadline: scope.deadline,
         };
         let (connection, response) = self.send_leg(&leg, until).await?;
