--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -273,9 +273,10 @@
         self.choose(query.service, role, query.excluded, now, |state| {
             let load = state.load();
             let memory = (load.memory_tokens + query.memory_tokens) as f64;
-            let is_alone = load.requests == 0;
-            let fits = memory <= capacity && state.fits_after_refusal(query.memory_tokens, now);
-            if (!fits && !is_alone) || f64::from(load.requests) >= slots {
+            // A request larger than the part that is filled is tried at an engine that has no other.
+            let fits = memory <= capacity || load.requests == 0;
+            let is_refused = !state.fits_after_refusal(query.memory_tokens, now);
+            if !fits || is_refused || f64::from(load.requests) >= slots {
                 return None;
             }
             let away_ms = if state.endpoint.zone == zone { 0.0 } else { OTHER_ZONE_MS };
