Fill engines by what they answer, and hold requests for less long

Change: the own estimate fills up to 1.1 of the memory with guesses at face value, and the engine's answer decides; a request is held for 1.5 s.

--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -28,11 +28,11 @@
 const MOVE_MS: u64 = 15;
 /// Longest time for which a request waits for an engine. Callers give a stream up that has not
 /// begun after four times its target, 3.6 s on today's deployments.
-const MAX_HOLD_MS: u64 = 2_400;
+const MAX_HOLD_MS: u64 = 1_500;
 /// Part of a decode engine's memory that is filled on purpose, and the part up to which requests
 /// are placed that are late anyway: room is then left for those that can be on time.
-const FILL_PART: f64 = 0.92;
-const LATE_FILL_PART: f64 = 0.75;
+const FILL_PART: f64 = 1.1;
+const LATE_FILL_PART: f64 = 0.9;
 /// Time for which memory is set aside: longer than a prompt takes to be read in a crowd.
 const HOLD_TTL_MS: u64 = 1_500;
 /// Time for an engine to answer that it has set memory aside.
@@ -48,7 +48,7 @@
 const HANDLE_PART: f64 = 0.7;
 /// Memory that is set aside for output, of what the caller guesses. Guesses are right at the
 /// median, so that some headroom keeps engines from running out of memory.
-const OUTPUT_GUESS_PERCENT: u64 = 120;
+const OUTPUT_GUESS_PERCENT: u64 = 100;
 /// Events on their way to a caller.
 const CHANNEL_EVENTS: usize = 16;
 
