Keep the exchange running when a peer falls silent, and end the process when a task ends

From the log: 'panicked at node_state.rs:148' on all instances 0.9 s after the first one was lost: the list of silent peers was taken within a borrow that the handler needs, so that the exchange ended and no instance heard of others' spending any more. Ruled out: the window itself (property test) and the baseline of a peer's first tokens, which was wrong too and is mended. A silent stream is now kept until another engine has taken over, after four allowed pauses. Change: the borrow ends first; a task that ends ends the process, which is started again; the datagrams of organisations near their limit are sent four times as often.

--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -9,6 +9,8 @@
 use crate::clock::Clock;
 use crate::fleet::{Members, Received, Status};
 
+/// How much more often datagrams are sent while a shared limit is near.
+const URGENT_SPEEDUP: u64 = 4;
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
@@ -19,6 +21,9 @@
 
     fn receive(&self, from: Ipv4Addr, status: Status, received: Received);
 
+    /// Whether peers need to know at once what this instance does, since a shared limit is near.
+    fn is_urgent(&self) -> bool;
+
     /// A peer fell silent.
     fn lose(&self, peer: Ipv4Addr);
 }
@@ -48,6 +53,11 @@
         Ok(Exchange { socket, port, run, sequence: Cell::new(0), started_at, members, clock })
     }
 
+    /// The UDP port in use.
+    pub fn port(&self) -> u16 {
+        self.port
+    }
+
     /// Runs until the task is dropped.
     pub async fn run<H: StatusHandler>(&self, handler: &H) {
         tokio::join!(self.send_all(handler), self.receive_all(handler));
@@ -56,10 +66,10 @@
     async fn send_all<H: StatusHandler>(&self, handler: &H) {
         loop {
             self.send_round(handler).await;
-            for peer in self.members.borrow_mut().expire(self.clock.now()) {
-                handler.lose(peer);
-            }
+            let silent = self.members.borrow_mut().expire(self.clock.now());
+            silent.into_iter().for_each(|peer| handler.lose(peer));
             let pause_ms = self.members.borrow().interval_ms();
+            let pause_ms = if handler.is_urgent() { pause_ms / URGENT_SPEEDUP } else { pause_ms };
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -21,6 +21,8 @@
 /// Time after which a machine that does not confirm what was sent counts as gone.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_millis(2_500);
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection that only receives counts as broken.
+const KEEPALIVE_PROBES: u32 = 2;
 
 /// An HTTP/1.1 connection to an endpoint, for one request at a time. Dropping it closes it at
 /// once, which ends the endpoint's work on the request.
@@ -93,6 +95,9 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNCONFIRMED_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_TIME);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_TIME)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)
 }
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -40,6 +40,8 @@
 /// How far a request is put back in line for each token that it is expected to generate. Its
 /// memory is held for as long as it generates.
 const HANDICAP_MS_PER_TOKEN: f64 = 0.3;
+/// The same for a stream that goes on at another engine, from the moment it broke off.
+const RESUME_HOLD_MS: u64 = 1_200;
 /// Pause between looks at the engines while a request waits.
 const LINE_LOOK_MS: u64 = 30;
 /// Usual time from the placement of a request to its first event.
@@ -191,8 +193,13 @@
     ) -> Result<Plan, Refusal> {
         let line = self.line(&scope.service.id);
         let arrived_at = scope.log.started_at;
-        let hold_until = arrived_at.plus_ms(MAX_HOLD_MS).min(scope.deadline);
         let now = self.parts.clock.now();
+        let hold_until = if scope.runs > 0 {
+            now.plus_ms(RESUME_HOLD_MS)
+        } else {
+            arrived_at.plus_ms(MAX_HOLD_MS)
+        };
+        let hold_until = hold_until.min(scope.deadline);
         if prefill.is_none() && line.expected_wait_ms(now) > hold_until.ms_since(now) {
             return Err(self.unplaced(scope));
         }
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -13,7 +13,7 @@
 
 /// Pauses of the longest allowed length after which a stream that may be resumed goes on at
 /// another engine.
-const STALLED_PAUSES: u64 = 3;
+const STALLED_PAUSES: u64 = 4;
 /// Longest allowed pause on routes that tell none.
 const DEFAULT_PAUSE_MS: u64 = 400;
 
@@ -38,7 +38,6 @@
     loop {
         let ended = pass_on(&forwarder, &scope, &mut stream, &events).await;
         last_event = stream.splitter.last_event().or(last_event);
-        let endpoint = stream.load.endpoint.clone();
         let error = match ended {
             Ended::Complete => {
                 let headers = std::mem::take(&mut stream.head.headers);
@@ -53,27 +52,42 @@
             }
             Ended::Failed(error) => error,
         };
-        scope.log.note_send("stream", endpoint.as_str(), error.code());
-        if let Some(state) = forwarder.parts.balancer.borrow_mut().endpoint_mut(&endpoint) {
-            state.health.note_failure(forwarder.parts.clock.now());
-        }
-        scope.runs += 1;
-        scope.excluded.push(endpoint);
-        // Closes the connection, which ends the engine's work before another one goes on.
-        drop(stream);
-        if !scope.may_run_again() {
+        note_failure(&forwarder, &mut scope, &stream, &error);
+        // A broken stream is closed first, which ends the engine's work before another goes on.
+        // One that is only silent may still go on itself if no other engine can.
+        let silent = (error == LegError::Timeout).then_some(stream);
+        if silent.is_none() && !scope.may_run_again() {
             scope.log.set_outcome("broken_off");
             break;
         }
-        match resume(&forwarder, &mut scope, last_event, &events).await {
-            Some(resumed) => stream = resumed,
-            None => break,
-        }
+        stream = match (resume(&forwarder, &mut scope, last_event, &events).await, silent) {
+            (Some(resumed), _) => resumed,
+            (None, Some(silent)) if !events.is_closed() => {
+                scope.runs = scope.route.max_endpoints;
+                silent
+            }
+            (None, _) => break,
+        };
     }
     // The receiver may have gone meanwhile.
     let _ = events.send(Err(BrokenStream)).await;
 }
 
+fn note_failure<K: Codec, D: RowDecoder, C: Clock>(
+    forwarder: &Forwarder<K, D, C>,
+    scope: &mut RequestScope<C>,
+    stream: &OpenStream,
+    error: &LegError,
+) {
+    let endpoint = &stream.load.endpoint;
+    scope.log.note_send("stream", endpoint.as_str(), error.code());
+    if let Some(state) = forwarder.parts.balancer.borrow_mut().endpoint_mut(endpoint) {
+        state.health.note_failure(forwarder.parts.clock.now());
+    }
+    scope.runs += 1;
+    scope.excluded.push(endpoint.clone());
+}
+
 async fn resume<K: Codec, D: RowDecoder, C: Clock>(
     forwarder: &Forwarder<K, D, C>,
     scope: &mut RequestScope<C>,
--- a/src/node/node_error.rs
+++ b/src/node/node_error.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error, From};
+use smol_str::SmolStr;
 
 use crate::settings::SettingsError;
 
@@ -15,6 +16,9 @@
     #[display("cannot listen on {address}: {source}")]
     #[from(ignore)]
     Listen { address: SocketAddr, source: io::Error },
+    #[display("a task that runs as long as the instance has ended: {task}")]
+    #[from(ignore)]
+    TaskEnded { task: SmolStr },
     #[display("metrics cannot be set up: {_0}")]
     Metrics(metrics_exporter_prometheus::BuildError),
 }
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -139,6 +139,10 @@
         self.crashes.borrow_mut().learn(&status.crashes, now);
     }
 
+    fn is_urgent(&self) -> bool {
+        self.quotas.borrow_mut().is_any_nearly_spent(self.clock.now())
+    }
+
     fn lose(&self, peer: Ipv4Addr) {
         log::info!(target: "fleet", peer = peer.to_string().as_str(),
             live = self.members.borrow().live_count(); "peer silent");
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
+use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinError, JoinSet, LocalSet};
 
 use crate::clock::{BootClock, Clock};
 use crate::fleet::Exchange;
@@ -16,6 +17,7 @@
 use crate::node::peer_pull::pull_from_peers;
 use crate::node::tasks::{apply_changes, discover, keep_up};
 use crate::node::{NodeError, NodeSettings, NodeState, PlatformAdapter};
+use crate::replica::{RowChange, Topic};
 use crate::settings::load_settings;
 
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -69,8 +71,11 @@
         .await
         .map_err(|source| NodeError::Listen { address: status_address, source })?;
     let exchange = Rc::new(exchange);
-    spawn_tasks(&node, &exchange, changes);
-    wait_for_stop(&node, settings_file).await.map_err(NodeError::Runtime)?;
+    let mut tasks = spawn_tasks(&node, &exchange, changes);
+    tokio::select! {
+        stop = wait_for_stop(&node, settings_file) => stop.map_err(NodeError::Runtime)?,
+        ended = tasks.join_next() => return Err(task_ended(ended)),
+    }
     let ended = async { while listeners.join_next().await.is_some() {} };
     drain(&node, &exchange, shutdown, ended).await;
     Ok(())
@@ -96,24 +101,57 @@
     Ok(())
 }
 
+/// Starts the tasks that run as long as the instance. If one ends, by a fault, so does the process:
+/// the platform starts it again, while an instance that no longer follows its peers or the store
+/// would serve from an old view.
 fn spawn_tasks<A: PlatformAdapter, C: Clock>(
     node: &Rc<NodeState<A, C>>,
     exchange: &Rc<Exchange<C>>,
-    changes: tokio::sync::mpsc::UnboundedReceiver<(
-        crate::replica::Topic,
-        Vec<crate::replica::RowChange>,
-    )>,
-) {
+    changes: mpsc::UnboundedReceiver<(Topic, Vec<RowChange>)>,
+) -> JoinSet<&'static str> {
+    let mut tasks = JoinSet::new();
     for follower in &node.followers {
         let follower = Rc::clone(follower);
-        tokio::task::spawn_local(async move { follower.run().await });
+        tasks.spawn_local(async move {
+            follower.run().await;
+            "replica"
+        });
     }
-    tokio::task::spawn_local(apply_changes(Rc::clone(node), changes));
-    tokio::task::spawn_local(keep_up(Rc::clone(node)));
-    tokio::task::spawn_local(discover(Rc::clone(node)));
-    tokio::task::spawn_local(pull_from_peers(Rc::clone(node)));
+    let state = Rc::clone(node);
+    tasks.spawn_local(async move {
+        apply_changes(state, changes).await;
+        "changes"
+    });
+    let state = Rc::clone(node);
+    tasks.spawn_local(async move {
+        keep_up(state).await;
+        "upkeep"
+    });
+    let state = Rc::clone(node);
+    tasks.spawn_local(async move {
+        discover(state).await;
+        "discovery"
+    });
+    let state = Rc::clone(node);
+    tasks.spawn_local(async move {
+        pull_from_peers(state).await;
+        "pull"
+    });
     let (node, exchange) = (Rc::clone(node), Rc::clone(exchange));
-    tokio::task::spawn_local(async move { exchange.run(node.as_ref()).await });
+    tasks.spawn_local(async move {
+        exchange.run(node.as_ref()).await;
+        "exchange"
+    });
+    tasks
+}
+
+fn task_ended(ended: Option<Result<&'static str, JoinError>>) -> NodeError {
+    let task = match ended {
+        Some(Ok(name)) => name.into(),
+        Some(Err(error)) => error.to_smolstr(),
+        None => "all".into(),
+    };
+    NodeError::TaskEnded { task }
 }
 
 /// Returns when the process is to stop. SIGHUP has the settings read again.
--- a/src/quota/quotas.rs
+++ b/src/quota/quotas.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// Whether an organisation is so near its limit that instances should tell each other at once
+    /// what they admit.
+    pub fn is_any_nearly_spent(&mut self, now: Instant) -> bool {
+        let share = self.share;
+        self.windows.values_mut().any(|(_, window)| window.is_nearly_spent(now, share))
+    }
+
     pub fn own_spent(&self) -> Vec<Spent> {
         let spent = self.windows.values().filter(|(_, window)| window.own_spent() > 0);
         spent
@@ -101,11 +108,9 @@
         now: Instant,
     ) {
         for (key, window) in self.windows.values_mut() {
-            if let Some(told) = spent.iter().find(|told| told.organisation_key == *key) {
-                window.note_peer(peer, told.tokens, is_new_run, now);
-            } else if is_new_run {
-                window.note_peer(peer, 0, true, now);
-            }
+            // An organisation that is not named has spent nothing there.
+            let told = spent.iter().find(|told| told.organisation_key == *key);
+            window.note_peer(peer, told.map_or(0, |told| told.tokens), is_new_run, now);
         }
     }
 }
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -6,6 +6,8 @@
 
 /// Resolution of the window.
 const SLOT_MS: u64 = 250;
+/// Part of the limit from which on instances tell each other more often what they spent.
+const NEARLY_SPENT_PART: f64 = 0.8;
 
 /// An organisation's spending in the last window as one instance sees it: its own, and what its
 /// peers report. A window may hold `rate x window + burst` tokens.
@@ -94,6 +96,12 @@
         Ok(())
     }
 
+    /// Whether little is left of the limit.
+    pub fn is_nearly_spent(&mut self, now: Instant, share: f64) -> bool {
+        self.advance(now);
+        self.sum > self.limit() * share * NEARLY_SPENT_PART
+    }
+
     /// Time until slots that hold `excess` tokens have left the window.
     fn wait_ms(&self, excess: f64, now: Instant) -> u64 {
         let mut freed = 0.0;
--- a/tests/node/quota.rs
+++ b/tests/node/quota.rs
@@ -1,7 +1,9 @@
 use std::net::IpAddr;
+use std::rc::Rc;
 
-use almondroad::quota::SharedWindow;
-use almondroad::units::{Tokens, TokensPerSecond};
+use almondroad::catalog::Customer;
+use almondroad::quota::{Quotas, SharedWindow};
+use almondroad::units::{OrganisationId, Tokens, TokensPerSecond};
 use proptest::prelude::*;
 
 use super::support::at;
@@ -96,3 +98,24 @@
         }
     }
 }
+
+/// Guards against spending of a peer that is never counted: its first request for an organisation
+/// arrives after it was first heard (nmha-router trouble-3, QUOTA).
+#[test]
+fn the_first_tokens_that_a_known_peer_spends_count() {
+    let customer = Rc::new(Customer {
+        organisation: OrganisationId::new("blue"),
+        priority: None,
+        rate: Some(TokensPerSecond(1_000)),
+        burst: Tokens(2_000),
+        plain_tokens: Tokens(200),
+    });
+    let mut quotas = Quotas::new(WINDOW_MS, false);
+    quotas.set_customers(&[Rc::clone(&customer)], at(0));
+    let mut teller = Quotas::new(WINDOW_MS, false);
+    teller.set_customers(&[Rc::clone(&customer)], at(0));
+    quotas.note_peer(peer(), &teller.own_spent(), false, at(0));
+    teller.take(&customer.organisation, Tokens(9_500), at(10)).unwrap();
+    quotas.note_peer(peer(), &teller.own_spent(), false, at(20));
+    assert!(quotas.take(&customer.organisation, Tokens(1_000), at(30)).is_err());
+}
--- /dev/null
+++ b/tests/node_exchange.rs
@@ -0,0 +1,90 @@
+//! The exchange between instances over loopback sockets.
+
+use std::cell::RefCell;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use almondroad::clock::{BootClock, Clock};
+use almondroad::fleet::{Exchange, Members, Received, Status, StatusHandler};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+#[derive(Debug, PartialEq)]
+enum Event {
+    Heard(Ipv4Addr),
+    Lost(Ipv4Addr),
+}
+
+struct Recorder {
+    members: Rc<RefCell<Members>>,
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl StatusHandler for Recorder {
+    fn status(&self) -> Status {
+        Status {
+            run: 0,
+            sequence: 0,
+            age_ms: 0,
+            zone: "a".into(),
+            is_ready: true,
+            is_leaving: false,
+            versions: [0, 0],
+            loads: Vec::new(),
+            spent: Vec::new(),
+            crashes: Vec::new(),
+            known: Vec::new(),
+        }
+    }
+
+    fn receive(&self, from: Ipv4Addr, _: Status, received: Received) {
+        if received.is_new {
+            self.events.send(Event::Heard(from)).unwrap();
+        }
+    }
+
+    fn is_urgent(&self) -> bool {
+        false
+    }
+
+    fn lose(&self, peer: Ipv4Addr) {
+        assert!(self.members.borrow().live_count() >= 1);
+        self.events.send(Event::Lost(peer)).unwrap();
+    }
+}
+
+async fn instance(
+    own: Ipv4Addr,
+    peer: Ipv4Addr,
+    port: u16,
+) -> (Exchange<BootClock>, Recorder, mpsc::UnboundedReceiver<Event>) {
+    let members = Rc::new(RefCell::new(Members::new(own, BootClock.now())));
+    members.borrow_mut().add(peer);
+    let address = SocketAddr::new(IpAddr::V4(own), port);
+    let exchange = Exchange::bind(address, Rc::clone(&members), BootClock).await.unwrap();
+    let (events, received) = mpsc::unbounded_channel();
+    (exchange, Recorder { members, events }, received)
+}
+
+/// Guards against an exchange that ends when a peer falls silent, after which the instance never
+/// hears of others' loads and spending again (nmha-router trouble-3, QUOTA).
+#[tokio::test]
+async fn the_exchange_goes_on_after_a_peer_fell_silent() {
+    let (first, second) = (Ipv4Addr::new(127, 0, 0, 1), Ipv4Addr::new(127, 0, 0, 2));
+    let local = LocalSet::new();
+    let test = async {
+        let (exchange, recorder, mut events) = instance(first, second, 0).await;
+        let port = exchange.port();
+        let running = tokio::task::spawn_local(async move { exchange.run(&recorder).await });
+        for _ in 0..2 {
+            let (peer, peer_recorder, _events) = instance(second, first, port).await;
+            let peer = tokio::task::spawn_local(async move { peer.run(&peer_recorder).await });
+            assert_eq!(events.recv().await, Some(Event::Heard(second)));
+            peer.abort();
+            assert!(peer.await.unwrap_err().is_cancelled());
+            assert_eq!(events.recv().await, Some(Event::Lost(second)));
+        }
+        assert!(!running.is_finished());
+    };
+    local.run_until(test).await;
+}
