--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -2,19 +2,19 @@
 //! endpoints that registered themselves. Decoded from rows of the store by an adapter.
 
 mod call_limits;
-mod catalog;
 mod customer;
 mod decoder;
 mod endpoint;
+mod known;
 mod route;
 mod service;
 mod service_configuration;
 
 pub use call_limits::CallLimits;
-pub use catalog::{Catalog, EndpointChange};
 pub use customer::Customer;
 pub use decoder::{DecodeError, OperatorRow, RowDecoder};
 pub use endpoint::{Endpoint, EndpointRole};
+pub use known::{Catalog, EndpointChange};
 pub use route::{Route, RouteKind, Target};
 pub use service::{EngineTraits, Service};
 pub use service_configuration::ServiceConfiguration;
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -13,6 +13,7 @@
 use crate::catalog::{Endpoint, EngineTraits, RowDecoder};
 use crate::clock::{Clock, Instant};
 use crate::forward::connection::Connection;
+use crate::forward::release_guard::ReleaseGuard;
 use crate::forward::request_scope::{LoadGuard, RequestScope};
 use crate::forward::stream_relay::relay;
 use crate::forward::{Codec, EventSplitter, Forwarder, KvSource, Leg, LegError, Refusal, Stage};
@@ -67,30 +68,32 @@
 
 /// What an engine made of a generation.
 pub(super) enum Opened {
-    Stream(OpenStream),
+    Stream(Box<OpenStream>),
     /// The engine's own answer that is no stream.
     Answer(Response<ResponseBody>),
 }
 
 /// Engines for a generation.
-struct Plan {
+struct Plan<C: Clock> {
     /// Reads the prompt; `None` if it was read, or if the decode engine does that itself.
     prefill: Option<Placement>,
     decode: Placement,
     /// Memory at the decode engine.
     load: LoadGuard,
     /// The same memory, set aside at the engine itself.
-    hold: Option<Hold>,
+    hold: Option<Hold<C>>,
 }
 
 /// Memory that was set aside at an engine.
-struct Hold {
+struct Hold<C: Clock> {
     name: SmolStr,
+    guard: ReleaseGuard<C>,
 }
 
 /// A prompt whose KV cache waits at an engine.
-struct Prefill {
+struct Prefill<C: Clock> {
     source: KvSource,
+    guard: ReleaseGuard<C>,
     zone: crate::units::ZoneId,
     usable_until: Instant,
 }
@@ -118,7 +121,7 @@
                 let mut answer = Response::new(ResponseBody::Stream(receiver));
                 *answer.status_mut() = stream.head.status;
                 *answer.headers_mut() = self.parts.codec.answer_headers(&stream.head.headers);
-                tokio::task::spawn_local(relay(Rc::clone(self), scope, stream, events));
+                tokio::task::spawn_local(relay(Rc::clone(self), scope, *stream, events));
                 Ok(answer)
             }
         }
@@ -130,7 +133,7 @@
         scope: &mut RequestScope<C>,
         last_event: Option<u64>,
     ) -> Result<Opened, Refusal> {
-        let mut prefill: Option<Prefill> = None;
+        let mut prefill: Option<Prefill<C>> = None;
         let mut is_first_prefill = true;
         loop {
             let now = self.parts.clock.now();
@@ -138,27 +141,30 @@
                 return Err(self.expired(scope));
             }
             prefill = prefill.filter(|prefill| now < prefill.usable_until);
-            let mut plan = self.place(scope, prefill.as_ref()).await?;
+            let plan = self.place(scope, prefill.as_ref()).await?;
             if let Some(placement) = &plan.prefill {
                 if !is_first_prefill && !self.take_send(scope) {
-                    self.drop_hold(&plan.decode.endpoint, plan.hold.take());
                     return Err(self.unplaced(scope));
                 }
                 is_first_prefill = false;
                 prefill = self.prefill(scope, placement).await;
                 if prefill.is_none() {
-                    self.drop_hold(&plan.decode.endpoint, plan.hold.take());
                     continue;
                 }
             }
             if !self.take_send(scope) {
-                self.drop_hold(&plan.decode.endpoint, plan.hold.take());
                 return Err(self.unplaced(scope));
             }
             let source = prefill.as_ref().map(|prefill| prefill.source.clone());
             let endpoint = Rc::clone(&plan.decode.endpoint);
             match self.decode(scope, plan, source, last_event).await {
-                Ok(opened) => return Ok(opened),
+                Ok(opened) => {
+                    // The decode engine has taken the KV cache.
+                    if let Some(prefill) = &mut prefill {
+                        prefill.guard.keep();
+                    }
+                    return Ok(opened);
+                }
                 Err(error) => {
                     if error == LegError::NotRun {
                         self.note_full(&endpoint.id);
@@ -189,8 +195,8 @@
     async fn place(
         &self,
         scope: &mut RequestScope<C>,
-        prefill: Option<&Prefill>,
-    ) -> Result<Plan, Refusal> {
+        prefill: Option<&Prefill<C>>,
+    ) -> Result<Plan<C>, Refusal> {
         let line = self.line(&scope.service.id);
         let arrived_at = scope.log.started_at;
         let now = self.parts.clock.now();
@@ -234,7 +240,7 @@
     /// Sets the decode engine's memory aside before the prompt is read. Several instances may count
     /// on the same memory, and an engine goes on with requests whose answers were lost, so that
     /// only the engine knows what is left. `None` if it has none left.
-    async fn hold_memory(&self, scope: &mut RequestScope<C>, mut plan: Plan) -> Option<Plan> {
+    async fn hold_memory(&self, scope: &mut RequestScope<C>, mut plan: Plan<C>) -> Option<Plan<C>> {
         let endpoint = Rc::clone(&plan.decode.endpoint);
         let held = self.exchange_hold(&endpoint, memory_tokens(scope)).await;
         let code = match &held {
@@ -245,7 +251,10 @@
         scope.log.note_send("hold", endpoint.id.as_str(), code);
         match held {
             Ok(Some(name)) => {
-                plan.hold = Some(Hold { name });
+                let codec = &self.parts.codec;
+                let release = codec.drop_hold_request(&endpoint, &name);
+                let guard = ReleaseGuard::new(&self.parts.connections, endpoint.address, release);
+                plan.hold = Some(Hold { name, guard });
                 Some(plan)
             }
             Ok(None) => {
@@ -292,30 +301,14 @@
         tokio::time::timeout(limit, exchange).await.map_err(|_| LegError::Timeout)?
     }
 
-    /// Gives up memory that was set aside and is not used.
-    fn drop_hold(&self, endpoint: &Endpoint, hold: Option<Hold>) {
-        let Some(hold) = hold else { return };
-        let Some(request) = self.parts.codec.drop_hold_request(endpoint, &hold.name) else {
-            return;
-        };
-        let (connections, address) = (Rc::clone(&self.parts.connections), endpoint.address);
-        tokio::task::spawn_local(async move {
-            let limit = Duration::from_millis(HOLD_TIMEOUT_MS);
-            let sent = tokio::time::timeout(limit, connections.send(address, request)).await;
-            if !matches!(sent, Ok(Ok(_))) {
-                log::info!(target: "forward", "memory set aside at {address} lapses by itself");
-            }
-        });
-    }
-
     /// Chooses between a prefill engine and a decode engine that reads the prompt itself.
     fn plan(
         &self,
         scope: &RequestScope<C>,
-        prefill: Option<&Prefill>,
+        prefill: Option<&Prefill<C>>,
         fill_part: f64,
         now: Instant,
-    ) -> Result<Plan, Shortage> {
+    ) -> Result<Plan<C>, Shortage> {
         let engine = scope.service.engine.ok_or(Shortage::NoEndpoint)?;
         let prompt_tokens = prompt_tokens(scope);
         let mut balancer = self.parts.balancer.borrow_mut();
@@ -357,7 +350,7 @@
         decode: Placement,
         reads_prompt: bool,
         now: Instant,
-    ) -> Plan {
+    ) -> Plan<C> {
         let load = Load {
             requests: 1,
             prompt_tokens: if reads_prompt { prompt_tokens(scope) } else { 0 },
@@ -368,7 +361,11 @@
     }
 
     /// Has the prompt read. A failure excludes the engine.
-    async fn prefill(&self, scope: &mut RequestScope<C>, placement: &Placement) -> Option<Prefill> {
+    async fn prefill(
+        &self,
+        scope: &mut RequestScope<C>,
+        placement: &Placement,
+    ) -> Option<Prefill<C>> {
         let now = self.parts.clock.now();
         let tokens = prompt_tokens(scope);
         let load = Load { requests: 1, prompt_tokens: tokens, memory_tokens: tokens };
@@ -391,8 +388,12 @@
                 }
                 let handle_ms = scope.service.engine.map_or(0, |engine| engine.handle_ms);
                 let usable_ms = handle_ms as f64 * HANDLE_PART;
+                let source = KvSource { address: endpoint.address, handle };
+                let release = self.parts.codec.release_request(&source);
+                let guard = ReleaseGuard::new(&self.parts.connections, endpoint.address, release);
                 Some(Prefill {
-                    source: KvSource { address: endpoint.address, handle },
+                    source,
+                    guard,
                     zone: endpoint.zone.clone(),
                     usable_until: read_at.plus_ms(usable_ms as u64),
                 })
@@ -443,17 +444,17 @@
     async fn decode(
         &self,
         scope: &mut RequestScope<C>,
-        plan: Plan,
+        plan: Plan<C>,
         source: Option<KvSource>,
         last_event: Option<u64>,
     ) -> Result<Opened, LegError> {
         let now = self.parts.clock.now();
         let reads_prompt = source.is_none();
-        let Plan { decode: placement, load, hold, .. } = plan;
-        let endpoint = &placement.endpoint;
+        let endpoint = Rc::clone(&plan.decode.endpoint);
+        let expected_ms = plan.decode.expected_ms;
         let may_send_again =
             scope.route.kind.may_repeat() && scope.runs + 1 < scope.route.max_endpoints;
-        let patience_ms = FIRST_EVENT_PATIENCE_MS + 2 * placement.expected_ms;
+        let patience_ms = FIRST_EVENT_PATIENCE_MS + 2 * expected_ms;
         let until = if may_send_again {
             scope.deadline.min(now.plus_ms(patience_ms))
         } else {
@@ -461,8 +462,7 @@
         };
         let stage = source.map_or(Stage::Whole, Stage::Decode);
         let name = if reads_prompt { "whole" } else { "decode" };
-        let result =
-            self.exchange_decode(scope, &placement, stage, last_event, load, hold, until).await;
+        let result = self.exchange_decode(scope, plan, stage, last_event, until).await;
         let code = result.as_ref().map_or_else(|error| error.code(), |_| "started");
         scope.log.note_send(name, endpoint.id.as_str(), code);
         if result.is_ok() {
@@ -482,13 +482,12 @@
     async fn exchange_decode(
         &self,
         scope: &RequestScope<C>,
-        placement: &Placement,
+        plan: Plan<C>,
         stage: Stage,
         last_event: Option<u64>,
-        mut load: LoadGuard,
-        hold: Option<Hold>,
         until: Instant,
     ) -> Result<Opened, LegError> {
+        let Plan { decode: placement, mut load, mut hold, .. } = plan;
         let leg = Leg {
             request: &scope.request,
             organisation: scope.organisation(),
@@ -499,6 +498,10 @@
             deadline: scope.deadline,
         };
         let (connection, response) = self.send_leg(&leg, until).await?;
+        // The engine has answered, so that it has used what it had set aside.
+        if let Some(hold) = &mut hold {
+            hold.guard.keep();
+        }
         let (head, mut body) = response.into_parts();
         if head.status != StatusCode::OK {
             return self.whole_answer(scope, connection, head, body).await;
@@ -522,7 +525,7 @@
                 },
             };
             load.note_prompt_read();
-            return Ok(Opened::Stream(OpenStream {
+            return Ok(Opened::Stream(Box::new(OpenStream {
                 connection,
                 head,
                 body,
@@ -530,7 +533,7 @@
                 first_events,
                 has_ended,
                 load,
-            }));
+            })));
         }
     }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod leg_error;
 mod plain;
 mod refusal;
+mod release_guard;
 mod request_log;
 mod request_scope;
 mod stream_relay;
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -99,7 +99,7 @@
         () = events.closed() => return None,
     };
     match opened {
-        Ok(Opened::Stream(stream)) => Some(stream),
+        Ok(Opened::Stream(stream)) => Some(*stream),
         Ok(Opened::Answer(_)) => {
             scope.log.set_outcome("not_resumed");
             None
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -2,13 +2,13 @@
 //! a peer that is ahead.
 
 mod follow;
-mod replica;
 mod row_change;
 mod source;
+mod table_copy;
 mod topic;
 
 pub use follow::Follower;
-pub use replica::Replica;
 pub use row_change::RowChange;
 pub use source::{Changes, RowSource, Snapshot, SourceError};
+pub use table_copy::Replica;
 pub use topic::Topic;
