Read the store with eight instances of a large fleet

Change: in fleets of more than 12 instances the first eight by hash whose reads succeed read; the others take over what these have read. Tests: a_large_fleet_reads_with_some_instances_whose_reads_succeed.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -14,5 +14,7 @@
     /// `None` until the first datagram.
     pub heard_at: Option<Instant>,
     pub is_live: bool,
+    /// Whether its reads of the store succeed.
+    pub is_store_steady: bool,
     pub versions: [u64; 2],
 }
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Instant;
 use crate::fleet::{Member, Status};
+use crate::hash::stable_hash;
 
 /// Shortest time after which a silent instance counts as gone. Covers five lost datagrams of a
 /// small fleet.
@@ -19,6 +20,11 @@
 /// cost some 40 us each, so the two keep the exchange below 1% of a core.
 const MIN_INTERVAL_MS: u64 = 150;
 const INTERVAL_PER_MEMBER_MS: u64 = 12;
+/// Number of instances that read the store in a large fleet. The others take over what these have
+/// read. Large enough that a store which turns a third of the fleet away does not meet all.
+const READERS: usize = 8;
+/// Fleets up to this size read with every instance.
+const MAX_ALL_READ: usize = 12;
 /// Addresses of other instances in a datagram.
 const KNOWN_IN_STATUS: usize = 12;
 
@@ -74,6 +80,7 @@
             is_leaving: status.is_leaving,
             heard_at: Some(now),
             is_live: true,
+            is_store_steady: status.is_store_steady,
             versions: status.versions,
         };
         Some(Received { is_new, is_new_run })
@@ -145,9 +152,27 @@
         ahead.max_by_key(|(_, member)| member.versions[topic_index]).map(|(address, _)| *address)
     }
 
+    /// Whether this instance reads the store itself: in a large fleet, only the first ones by hash
+    /// do whose own reads succeed. `is_steady`: whether this instance's reads do.
+    pub fn is_reader(&self, is_steady: bool) -> bool {
+        if self.live_count() <= MAX_ALL_READ || !is_steady {
+            return true;
+        }
+        let own = reader_rank(self.own);
+        let before = self.live().filter(|(address, member)| {
+            member.is_store_steady && !member.is_leaving && reader_rank(**address) < own
+        });
+        before.count() < READERS
+    }
+
     /// Some live instances, for others to learn of.
     pub fn sample(&self) -> Vec<Ipv4Addr> {
         let live: Vec<Ipv4Addr> = self.live().map(|(address, _)| *address).collect();
         live.choose_multiple(&mut rand::rng(), KNOWN_IN_STATUS).copied().collect()
     }
 }
+
+/// Order in which instances become readers; spreads them over machines and zones.
+fn reader_rank(address: Ipv4Addr) -> u64 {
+    stable_hash(&address.to_string())
+}
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -27,6 +27,8 @@
     pub is_ready: bool,
     /// The sender is about to stop.
     pub is_leaving: bool,
+    /// Whether the sender's reads of the store succeed.
+    pub is_store_steady: bool,
     /// Versions of the sender's replicas, by `Topic::index`.
     pub versions: [u64; 2],
     pub loads: Vec<PeerLoad>,
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -59,9 +59,10 @@
             retry_limits: settings.retry.limits(),
             clock: clock.clone(),
         });
+        let members = Rc::new(RefCell::new(members));
         let followers = Topic::ALL.map(|topic| {
-            let store = Rc::clone(&store);
-            Rc::new(Follower::new(topic, store, clock.clone(), sender.clone()))
+            let (store, members) = (Rc::clone(&store), Rc::clone(&members));
+            Rc::new(Follower::new(topic, store, members, clock.clone(), sender.clone()))
         });
         let state = NodeState {
             settings,
@@ -72,7 +73,7 @@
             quotas,
             crashes,
             connections,
-            members: Rc::new(RefCell::new(members)),
+            members,
             forwarder,
             followers,
             is_leaving: Cell::new(false),
@@ -115,6 +116,7 @@
             zone: self.settings.zone.as_str().into(),
             is_ready: self.is_ready(),
             is_leaving: self.is_leaving.get(),
+            is_store_steady: self.followers.iter().all(|follower| follower.is_steady()),
             versions: [0, 1].map(|index: usize| self.followers[index].content_version()),
             loads: self.balancer.borrow().own_loads(now),
             spent: self.quotas.borrow().own_spent(),
--- a/src/replica/follow.rs
+++ b/src/replica/follow.rs
@@ -5,10 +5,13 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::{Clock, Instant};
+use crate::fleet::Members;
 use crate::replica::{Replica, RowChange, RowSource, Snapshot, SourceError, Topic};
 
 /// Length of a long poll. Bounds the time for which a connection that went silent is not noticed.
 const POLL_MS: u64 = 4_000;
+/// Pause between looks whether an instance that does not read has become a reader.
+const NOT_READER_MS: u64 = 300;
 /// Pause after a failed read; doubles up to `MAX_RETRY_MS`.
 const MIN_RETRY_MS: u64 = 100;
 const MAX_RETRY_MS: u64 = 500;
@@ -19,6 +22,7 @@
 pub struct Follower<S, C> {
     topic: Topic,
     source: Rc<S>,
+    members: Rc<RefCell<Members>>,
     clock: C,
     replica: RefCell<Replica>,
     changes: mpsc::UnboundedSender<(Topic, Vec<RowChange>)>,
@@ -31,12 +35,14 @@
     pub fn new(
         topic: Topic,
         source: Rc<S>,
+        members: Rc<RefCell<Members>>,
         clock: C,
         changes: mpsc::UnboundedSender<(Topic, Vec<RowChange>)>,
     ) -> Follower<S, C> {
         Follower {
             topic,
             source,
+            members,
             clock,
             replica: RefCell::default(),
             changes,
@@ -86,6 +92,11 @@
     pub async fn run(&self) {
         let mut retry_ms = MIN_RETRY_MS;
         while !self.changes.is_closed() {
+            let is_reader = self.members.borrow().is_reader(self.is_steady());
+            if !is_reader && self.version() > 0 {
+                tokio::time::sleep(Duration::from_millis(NOT_READER_MS)).await;
+                continue;
+            }
             let read = tokio::select! {
                 read = self.read_once() => read,
                 () = self.poll_again.notified() => continue,
--- a/tests/node/members.rs
+++ b/tests/node/members.rs
@@ -15,6 +15,7 @@
         zone: "a".into(),
         is_ready: true,
         is_leaving: false,
+        is_store_steady: true,
         versions: [1, 1],
         loads: Vec::new(),
         spent: Vec::new(),
@@ -80,3 +81,40 @@
     assert_eq!(members.ahead_of(0, 5), Some(PEER));
     assert_eq!(members.ahead_of(0, 9), None);
 }
+
+/// Guards against a large fleet that asks the store with every instance, and against one that
+/// nobody reads for when the store turns readers away.
+#[test]
+fn a_large_fleet_reads_with_some_instances_whose_reads_succeed() {
+    let address = |last: u8| Ipv4Addr::new(10, 0, 0, last);
+    let readers = |broken: &[u8]| -> Vec<u8> {
+        let mut readers = Vec::new();
+        for own in 1..=40 {
+            let mut members = Members::new(address(own), at(0));
+            for peer in (1..=40).filter(|peer| *peer != own) {
+                let mut told = status(1, 1);
+                told.is_store_steady = !broken.contains(&peer);
+                members.receive(address(peer), &told, at(0));
+            }
+            if members.is_reader(!broken.contains(&own)) {
+                readers.push(own);
+            }
+        }
+        readers
+    };
+    let usual = readers(&[]);
+    assert_eq!(usual.len(), 8);
+    let others = readers(&usual);
+    let working = others.iter().filter(|reader| !usual.contains(reader));
+    assert_eq!(working.count(), 8);
+}
+
+/// Guards against a small fleet that depends on a few readers.
+#[test]
+fn every_instance_of_a_small_fleet_reads() {
+    let mut members = Members::new(OWN, at(0));
+    for last in 2..=9 {
+        members.receive(Ipv4Addr::new(10, 0, 0, last), &status(1, 1), at(0));
+    }
+    assert!(members.is_reader(true));
+}
--- a/tests/node_exchange.rs
+++ b/tests/node_exchange.rs
@@ -29,6 +29,7 @@
             zone: "a".into(),
             is_ready: true,
             is_leaving: false,
+            is_store_steady: true,
             versions: [0, 0],
             loads: Vec::new(),
             spent: Vec::new(),
