--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -53,7 +53,10 @@
                         scope.charge.has_run = true;
                         scope.runs += 1;
                         if !scope.may_run_again() {
-                            break Refusal::AnswerLost;
+                            break match error {
+                                LegError::Timeout => Refusal::Timeout,
+                                _ => Refusal::AnswerLost,
+                            };
                         }
                     }
                 }
