--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_state;
 mod health;
 mod load;
+mod memory_need;
 mod retry_window;
 mod waiting_line;
 
@@ -14,5 +15,6 @@
 pub use endpoint_state::EndpointState;
 pub use health::Health;
 pub use load::{Load, PeerLoad};
+pub use memory_need::MemoryNeed;
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use waiting_line::{Ticket, WaitingLine};
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -9,8 +9,8 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use crate::balance::{DecodeQuery, Load, Placement, PrefillQuery, Shortage};
-use crate::catalog::{Endpoint, EngineTraits, RowDecoder};
+use crate::balance::{DecodeQuery, Load, MemoryNeed, Placement, PrefillQuery, Shortage};
+use crate::catalog::{Endpoint, RowDecoder};
 use crate::clock::{Clock, Instant};
 use crate::forward::connection::Connection;
 use crate::forward::release_guard::ReleaseGuard;
@@ -49,9 +49,6 @@
 const USUAL_FIRST_EVENT_MS: u64 = 350;
 /// Part of the time for which a handle is kept in which it is still used.
 const HANDLE_PART: f64 = 0.7;
-/// Memory that is set aside for output, of what the caller guesses. Guesses are right at the
-/// median, so that some headroom keeps engines from running out of memory.
-const OUTPUT_GUESS_PERCENT: u64 = 100;
 /// Events on their way to a caller.
 const CHANNEL_EVENTS: usize = 16;
 
@@ -246,7 +243,7 @@
     /// only the engine knows what is left. `None` if it has none left.
     async fn hold_memory(&self, scope: &mut RequestScope<C>, mut plan: Plan<C>) -> Option<Plan<C>> {
         let endpoint = Rc::clone(&plan.decode.endpoint);
-        let held = self.exchange_hold(&endpoint, memory_tokens(scope)).await;
+        let held = self.exchange_hold(&endpoint, memory_need(scope).held_tokens).await;
         let code = match &held {
             Ok(Some(_)) => "held",
             Ok(None) => "full",
@@ -318,7 +315,7 @@
         let mut balancer = self.parts.balancer.borrow_mut();
         let mut query = DecodeQuery {
             service: &scope.service.id,
-            memory_tokens: memory_tokens(scope),
+            memory_tokens: memory_need(scope).expected_tokens,
             prompt_tokens: 0,
             fill_part,
             near: prefill.map(|prefill| &prefill.zone),
@@ -358,7 +355,7 @@
         let load = Load {
             requests: 1,
             prompt_tokens: if reads_prompt { prompt_tokens(scope) } else { 0 },
-            memory_tokens: memory_tokens(scope),
+            memory_tokens: memory_need(scope).expected_tokens,
         };
         let load = LoadGuard::begin(&self.parts.balancer, &decode.endpoint.id, load, now);
         Plan { prefill, decode, load, hold: None }
@@ -547,11 +544,10 @@
     (tokens as f64 * HANDICAP_MS_PER_TOKEN) as u64
 }
 
-/// Memory that a generation is expected to reach.
-fn memory_tokens<C: Clock>(scope: &RequestScope<C>) -> u64 {
-    let Some(size) = &scope.request.generation else { return 0 };
-    let guess = size.expected_output_tokens.map(|tokens| tokens * OUTPUT_GUESS_PERCENT / 100);
-    let output = guess.unwrap_or(size.max_output_tokens).min(size.max_output_tokens);
-    let capacity = |engine: EngineTraits| engine.kv_capacity.get();
-    (size.prompt_tokens + output).min(scope.service.engine.map_or(u64::MAX, capacity))
+fn memory_need<C: Clock>(scope: &RequestScope<C>) -> MemoryNeed {
+    let capacity = scope.service.engine.map_or(u64::MAX, |engine| engine.kv_capacity.get());
+    scope.request.generation.as_ref().map_or(MemoryNeed::new(0, None, 0, capacity), |size| {
+        let guess = size.expected_output_tokens;
+        MemoryNeed::new(size.prompt_tokens, guess, size.max_output_tokens, capacity)
+    })
 }
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -8,6 +8,7 @@
     mod line;
     mod load_pattern;
     mod members;
+    mod memory_pattern;
     mod quota;
     mod replica;
     mod retries;
