--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -107,6 +107,9 @@
         if let Some(known) = self.endpoints.get_mut(&endpoint.id) {
             let is_same_run = known.endpoint.born_unix_ms == endpoint.born_unix_ms;
             if is_same_run && known.endpoint.service == endpoint.service {
+                if known.endpoint.role != endpoint.role {
+                    known.changing_until = Instant::default();
+                }
                 known.endpoint = Rc::clone(endpoint);
                 return;
             }
@@ -155,6 +158,19 @@
         })
     }
 
+    /// Endpoints of a service that may get work.
+    pub fn in_service<'a>(
+        &'a self,
+        service: &ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a EndpointState> {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let states = ids.iter().filter_map(|id| self.endpoints.get(id));
+        states.filter(move |state| {
+            self.is_in_service(&state.endpoint.id) && now >= state.changing_until
+        })
+    }
+
     pub fn len(&self) -> usize {
         self.endpoints.len()
     }
@@ -216,7 +232,7 @@
     /// What peers need to know of this instance's requests.
     pub fn own_loads(&self, now: Instant) -> Vec<PeerLoad> {
         let told = self.endpoints.values().filter_map(|state| {
-            let avoid_ms = state.health.own_avoid_ms(now).min(u64::from(u16::MAX)) as u16;
+            let avoid_ms = state.avoid_ms(now).min(u64::from(u16::MAX)) as u16;
             let is_told = !state.own.is_empty() || avoid_ms > 0;
             is_told.then_some(PeerLoad { endpoint_key: state.key, load: state.own, avoid_ms })
         });
@@ -338,7 +354,8 @@
             let is_out = endpoint.is_leaving
                 || endpoint.role != role
                 || self.zones_out.contains(&endpoint.zone)
-                || excluded.contains(id);
+                || excluded.contains(id)
+                || now < state.changing_until;
             if is_out {
                 continue;
             }
--- a/src/balance/endpoint_state.rs
+++ b/src/balance/endpoint_state.rs
@@ -32,6 +32,8 @@
     answer_ms: Option<f64>,
     /// The endpoint is not asked before then.
     pub paused_until: Instant,
+    /// The endpoint was ordered to change its role and is not used before then.
+    pub changing_until: Instant,
     /// When the endpoint refused a request as full, and the memory that was reserved there then.
     full: Option<(Instant, u64)>,
     cold_sends: VecDeque<Instant>,
@@ -48,6 +50,7 @@
             key,
             answer_ms: None,
             paused_until: Instant::default(),
+            changing_until: Instant::default(),
             full: None,
             cold_sends: VecDeque::new(),
         }
@@ -74,6 +77,11 @@
         load
     }
 
+    /// Time for which peers should leave the endpoint alone.
+    pub fn avoid_ms(&self, now: Instant) -> u64 {
+        self.health.own_avoid_ms(now).max(self.changing_until.ms_since(now))
+    }
+
     /// Notes how long an answer took for each unit of its work.
     pub fn note_answer_time(&mut self, unit_ms: f64) {
         let average = self.answer_ms.unwrap_or(unit_ms);
--- a/src/catalog/service.rs
+++ b/src/catalog/service.rs
@@ -19,4 +19,6 @@
     pub event_tokens: u64,
     /// Time for which the KV cache of a prefill is kept until a decode engine takes it.
     pub handle_ms: u64,
+    /// Time for which an engine that changes its role serves nothing.
+    pub role_change_ms: u64,
 }
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -155,14 +155,22 @@
     /// Whether this instance reads the store itself: in a large fleet, only the first ones by hash
     /// do whose own reads succeed. `is_steady`: whether this instance's reads do.
     pub fn is_reader(&self, is_steady: bool) -> bool {
-        if self.live_count() <= MAX_ALL_READ || !is_steady {
-            return true;
-        }
-        let own = reader_rank(self.own);
+        self.live_count() <= MAX_ALL_READ || !is_steady || self.steady_before() < READERS
+    }
+
+    /// Whether this instance gives orders to endpoints: the first one by hash whose reads of the
+    /// store succeed. Several may think so for a moment.
+    pub fn is_first(&self, is_steady: bool) -> bool {
+        is_steady && self.steady_before() == 0
+    }
+
+    /// Number of live instances before this one whose reads of the store succeed.
+    fn steady_before(&self) -> usize {
+        let own = instance_rank(self.own);
         let before = self.live().filter(|(address, member)| {
-            member.is_store_steady && !member.is_leaving && reader_rank(**address) < own
+            member.is_store_steady && !member.is_leaving && instance_rank(**address) < own
         });
-        before.count() < READERS
+        before.count()
     }
 
     /// Some live instances, for others to learn of.
@@ -172,7 +180,7 @@
     }
 }
 
-/// Order in which instances become readers; spreads them over machines and zones.
-fn reader_rank(address: Ipv4Addr) -> u64 {
+/// Order in which instances take over work of the fleet; spreads it over machines and zones.
+fn instance_rank(address: Ipv4Addr) -> u64 {
     stable_hash(&address.to_string())
 }
--- a/src/forward/codec.rs
+++ b/src/forward/codec.rs
@@ -2,12 +2,13 @@
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::http::{request, response};
-use hyper::{HeaderMap, Request};
+use hyper::{HeaderMap, Request, StatusCode};
 use smol_str::SmolStr;
 
 use crate::catalog::Endpoint;
 use crate::clock::Instant;
 use crate::forward::{CallerRequest, KvSource, Leg};
+use crate::roles::{EngineReport, OrderAnswer, RoleOrder};
 
 /// A caller's request that cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
@@ -59,6 +60,17 @@
     /// Request that gives up memory that was set aside.
     fn drop_hold_request(&self, endpoint: &Endpoint, hold: &str) -> Option<Request<Full<Bytes>>>;
 
+    /// Request for an engine's report on itself.
+    fn report_request(&self, endpoint: &Endpoint) -> Option<Request<Full<Bytes>>>;
+
+    fn read_report(&self, body: &[u8]) -> Option<EngineReport>;
+
+    /// Request that orders an engine to change its role.
+    fn order_request(&self, endpoint: &Endpoint, order: &RoleOrder)
+    -> Option<Request<Full<Bytes>>>;
+
+    fn read_order_answer(&self, status: StatusCode) -> OrderAnswer;
+
     fn answer_kind(&self, head: &response::Parts, request: &CallerRequest) -> AnswerKind;
 
     fn read_prefilled(&self, body: &[u8]) -> Option<Prefilled>;
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -192,6 +192,10 @@
         true
     }
 
+    pub fn codec(&self) -> &K {
+        &self.parts.codec
+    }
+
     pub(super) fn line(&self, service: &ServiceId) -> WaitingLine {
         self.lines.borrow_mut().entry(service.clone()).or_default().clone()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod quota;
 pub mod replica;
+pub mod roles;
 pub mod route;
 pub mod serve;
 pub mod settings;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod node_state;
 mod peer_pull;
 mod platform_adapter;
+mod role_orders;
 mod run;
 mod tasks;
 
--- a/src/node/node_settings.rs
+++ b/src/node/node_settings.rs
@@ -38,6 +38,9 @@
     /// Span over which organisations' rates are counted.
     pub rate_window_s: f64,
     pub retry: RetrySettings,
+    /// Time after one instance's orders to engines in which no other one gives any.
+    #[serde(default = "default_order_turn_ms")]
+    pub order_turn_ms: u64,
 }
 
 /// Limit on further sends of requests, for all instances and each service.
@@ -57,3 +60,8 @@
         RetryLimits { window_ms, share: self.share, extra: self.extra }
     }
 }
+
+/// As long as the shortest turn of the deployments known.
+fn default_order_turn_ms() -> u64 {
+    3_000
+}
--- a/src/node/platform_adapter.rs
+++ b/src/node/platform_adapter.rs
@@ -7,12 +7,13 @@
 use crate::http::Handler;
 use crate::node::NodeState;
 use crate::replica::RowSource;
+use crate::roles::LeaseTable;
 
 /// The parts of an instance that speak a platform's formats.
 pub trait PlatformAdapter: Sized + 'static {
     type Codec: Codec;
     type Decoder: RowDecoder;
-    type Store: RowSource + InstanceRegistry;
+    type Store: RowSource + InstanceRegistry + LeaseTable;
     /// Answers callers that ask for addresses.
     type Lookup<C: Clock>: Handler;
     /// Answers the platform's checks.
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -15,6 +15,7 @@
 use crate::node::drain::drain;
 use crate::node::node_handler::{CallerHandler, MetricsHandler, PeerHandler};
 use crate::node::peer_pull::pull_from_peers;
+use crate::node::role_orders::give_role_orders;
 use crate::node::tasks::{apply_changes, discover, keep_up};
 use crate::node::{NodeError, NodeSettings, NodeState, PlatformAdapter};
 use crate::replica::{RowChange, Topic};
@@ -137,6 +138,11 @@
         pull_from_peers(state).await;
         "pull"
     });
+    let state = Rc::clone(node);
+    tasks.spawn_local(async move {
+        give_role_orders(state).await;
+        "role orders"
+    });
     let (node, exchange) = (Rc::clone(node), Rc::clone(exchange));
     tasks.spawn_local(async move {
         exchange.run(node.as_ref()).await;
--- /dev/null
+++ b/src/roles/pool_sample.rs
@@ -0,0 +1,47 @@
+use crate::balance::EndpointState;
+use crate::catalog::EndpointRole;
+use crate::clock::Instant;
+use crate::units::Tokens;
+
+/// What the engines of a service do at one moment. Engines that are avoided are not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolSample {
+    pub prefill_engines: u32,
+    /// Prefill engines that are reading a prompt.
+    pub busy_prefill_engines: u32,
+    pub decode_engines: u32,
+    /// Memory that generations take, in engines.
+    pub filled_decode_engines: f64,
+}
+
+impl PoolSample {
+    /// Samples engines with `kv_capacity` of memory each.
+    pub fn new<'a>(
+        engines: impl IntoIterator<Item = &'a EndpointState>,
+        kv_capacity: Tokens,
+        now: Instant,
+    ) -> PoolSample {
+        let mut sample = PoolSample::default();
+        let usable = |state: &&EndpointState| !state.health.is_avoided(now);
+        for state in engines.into_iter().filter(usable) {
+            let load = state.load();
+            match state.endpoint.role {
+                Some(EndpointRole::Prefill) => {
+                    sample.prefill_engines += 1;
+                    sample.busy_prefill_engines += u32::from(load.requests > 0);
+                }
+                Some(EndpointRole::Decode) => {
+                    sample.decode_engines += 1;
+                    let filled = load.memory_tokens as f64 / kv_capacity.get().max(1) as f64;
+                    sample.filled_decode_engines += filled;
+                }
+                None => {}
+            }
+        }
+        sample
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.busy_prefill_engines == 0 && self.filled_decode_engines == 0.0
+    }
+}
--- a/tests/node/members.rs
+++ b/tests/node/members.rs
@@ -109,6 +109,31 @@
     assert_eq!(working.count(), 8);
 }
 
+/// Guards against several instances that try for the same lease again and again, and against one
+/// that cannot reach the store being the one to try.
+#[test]
+fn one_instance_gives_orders() {
+    let address = |last: u8| Ipv4Addr::new(10, 0, 0, last);
+    let first = |broken: &[u8]| -> Vec<u8> {
+        let is_first = |own: &u8| {
+            let mut members = Members::new(address(*own), at(0));
+            for peer in (1..=9).filter(|peer| peer != own) {
+                let mut told = status(u64::from(peer), 1);
+                told.is_store_steady = !broken.contains(&peer);
+                members.receive(address(peer), &told, at(0));
+            }
+            members.is_first(!broken.contains(own))
+        };
+        (1..=9).filter(is_first).collect()
+    };
+    let usual = first(&[]);
+    assert_eq!(usual.len(), 1);
+    let other = first(&usual);
+    assert_eq!(other.len(), 1);
+    assert_ne!(usual, other);
+    assert!(first(&[1, 2, 3, 4, 5, 6, 7, 8, 9]).is_empty());
+}
+
 /// Guards against a small fleet that depends on a few readers.
 #[test]
 fn every_instance_of_a_small_fleet_reads() {
--- /dev/null
+++ b/tests/node/roles.rs
@@ -0,0 +1,134 @@
+//! Roles of engines under the loads of the deployments: prefill engines that are busy for a
+//! quarter of the time beside decode engines whose memory is short, and the reverse.
+
+use almondroad::balance::{Balancer, Load};
+use almondroad::catalog::{Endpoint, EndpointRole};
+use almondroad::roles::{PoolSample, PoolUse, RoleChange, plan_roles};
+use almondroad::units::EndpointId;
+
+use super::support::{ENGINE, at, balancer, endpoint, service};
+
+const SAMPLE_MS: u64 = 250;
+
+struct Pool {
+    balancer: Balancer,
+    pool_use: PoolUse,
+    prefill: usize,
+    decode: usize,
+}
+
+impl Pool {
+    /// Engines spread over three zones.
+    fn new(prefill: usize, decode: usize) -> Pool {
+        let engine = |role: EndpointRole, number: usize| -> Endpoint {
+            let zone = ["a", "b", "c"][number % 3];
+            endpoint(&name(role, number), zone, Some(role))
+        };
+        let mut engines: Vec<Endpoint> =
+            (0..prefill).map(|number| engine(EndpointRole::Prefill, number)).collect();
+        engines.extend((0..decode).map(|number| engine(EndpointRole::Decode, number)));
+        for (number, engine) in engines.iter_mut().enumerate() {
+            engine.address = ([127, 0, 0, 1], 2_000 + number as u16).into();
+        }
+        Pool { balancer: balancer(&engines), pool_use: PoolUse::default(), prefill, decode }
+    }
+
+    /// Uses the engines for some seconds: `busy` prefill engines on average, and a part of the
+    /// decode engines' memory.
+    fn run(&mut self, seconds: u64, busy: f64, fill: f64) -> Vec<RoleChange> {
+        let memory_tokens = (ENGINE.kv_capacity.get() as f64 * fill) as u64;
+        let generations = Load { requests: 8, prompt_tokens: 0, memory_tokens };
+        for number in 0..self.decode {
+            let id = EndpointId::new(&name(EndpointRole::Decode, number));
+            self.balancer.begin(&id, &generations, at(0));
+        }
+        let prompt = Load { requests: 1, prompt_tokens: 3_000, memory_tokens: 3_000 };
+        let samples = seconds * 1_000 / SAMPLE_MS;
+        let mut due = 0.0;
+        let mut plan = Vec::new();
+        for sample in 1..=samples {
+            let now = at(sample * SAMPLE_MS);
+            due += busy;
+            let reading = (due as usize).min(self.prefill);
+            due -= reading as f64;
+            let ids = (0..reading).map(|number| name(EndpointRole::Prefill, number));
+            let ids: Vec<EndpointId> = ids.map(|id| EndpointId::new(&id)).collect();
+            ids.iter().for_each(|id| self.balancer.begin(id, &prompt, now));
+            let service = service();
+            let engines = || self.balancer.in_service(&service, now);
+            let sample = PoolSample::new(engines(), ENGINE.kv_capacity, now);
+            self.pool_use.note(&sample, now);
+            plan = plan_roles(engines(), &sample, &self.pool_use, now);
+            ids.iter().for_each(|id| self.balancer.end(id, &prompt));
+        }
+        plan
+    }
+}
+
+fn name(role: EndpointRole, number: usize) -> String {
+    format!("{role:?}-{number}")
+}
+
+fn count(plan: &[RoleChange], role: EndpointRole) -> usize {
+    plan.iter().filter(|change| change.role == role).count()
+}
+
+/// Guards against prefill engines that stand idle while generations wait for memory: nmha-router
+/// reads prompts with 1.6 of 6 engines and fills 12 decode engines in every burst.
+#[test]
+fn spare_prefill_engines_are_given_to_generations() {
+    let plan = Pool::new(6, 12).run(5, 1.6, 0.5);
+    assert_eq!(count(&plan, EndpointRole::Decode), 3, "{plan:?}");
+    assert_eq!(plan.len(), 3);
+    let mut zones: Vec<&str> = plan.iter().map(|change| change.endpoint.zone.as_str()).collect();
+    zones.sort_unstable();
+    assert_eq!(zones, ["a", "b", "c"], "taken from zones that have most");
+}
+
+/// Guards against roles that swing: what was planned leaves prefill engines with room, so that
+/// the next round plans nothing in either direction.
+#[test]
+fn a_fitting_pool_is_left_alone() {
+    assert_eq!(Pool::new(3, 15).run(8, 1.6, 0.5).len(), 0);
+    assert_eq!(Pool::new(3, 15).run(8, 2.4, 0.9).len(), 0);
+    assert_eq!(Pool::new(2, 7).run(8, 1.1, 0.5).len(), 0);
+}
+
+/// Guards against the last prefill engines of a service going in a quiet hour.
+#[test]
+fn a_pool_with_little_work_is_left_alone() {
+    assert_eq!(Pool::new(6, 12).run(10, 0.1, 0.1).len(), 0);
+    assert_eq!(Pool::new(2, 10).run(10, 0.1, 0.9).len(), 0);
+}
+
+/// Guards against orders on the strength of the first clump of requests.
+#[test]
+fn use_is_watched_before_anything_is_planned() {
+    assert_eq!(Pool::new(6, 12).run(2, 0.5, 0.6).len(), 0);
+}
+
+/// Guards against prompts that wait for ever after prefill engines were lost, and against decode
+/// engines that are taken away while generations wait for memory.
+#[test]
+fn missing_prefill_engines_are_replaced_while_memory_is_spare() {
+    let plan = Pool::new(1, 8).run(5, 1.0, 0.3);
+    assert_eq!((count(&plan, EndpointRole::Prefill), plan.len()), (1, 1));
+    let plan = Pool::new(0, 8).run(5, 0.0, 0.3);
+    assert_eq!((count(&plan, EndpointRole::Prefill), plan.len()), (1, 1));
+    assert_eq!(Pool::new(1, 8).run(5, 1.0, 0.8).len(), 0);
+}
+
+/// Guards against averages that still count the time before the first request, or before a
+/// change of roles.
+#[test]
+fn averages_begin_with_the_first_request() {
+    let mut pool_use = PoolUse::default();
+    let busy = PoolSample { busy_prefill_engines: 2, ..PoolSample::default() };
+    (0..400).for_each(|sample| pool_use.note(&PoolSample::default(), at(sample * SAMPLE_MS)));
+    assert!(!pool_use.is_known(at(100_000)));
+    (400..420).for_each(|sample| pool_use.note(&busy, at(sample * SAMPLE_MS)));
+    assert!(pool_use.is_known(at(105_000)));
+    assert!((pool_use.busy_prefill_engines() - 2.0).abs() < 1e-9);
+    pool_use.restart();
+    assert!(!pool_use.is_known(at(105_000)));
+}
--- a/tests/node/support.rs
+++ b/tests/node/support.rs
@@ -7,8 +7,13 @@
 use almondroad::clock::Instant;
 use almondroad::units::{EndpointId, ServiceId, Tokens, ZoneId};
 
-pub const ENGINE: EngineTraits =
-    EngineTraits { slots: 128, kv_capacity: Tokens(34_000), event_tokens: 13, handle_ms: 500 };
+pub const ENGINE: EngineTraits = EngineTraits {
+    slots: 128,
+    kv_capacity: Tokens(34_000),
+    event_tokens: 13,
+    handle_ms: 500,
+    role_change_ms: 6_000,
+};
 
 pub fn at(ms: u64) -> Instant {
     Instant::from_ms(1_000_000 + ms)
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -9,8 +9,10 @@
     mod load_pattern;
     mod members;
     mod memory_pattern;
+    mod order_lease;
     mod quota;
     mod replica;
     mod retries;
+    mod roles;
     pub mod support;
 }
