--- a/tests/node/roles.rs
+++ b/tests/node/roles.rs
@@ -39,7 +39,7 @@
         let memory_tokens = (ENGINE.kv_capacity.get() as f64 * fill) as u64;
         let generations = Load { requests: 8, prompt_tokens: 0, memory_tokens };
         for number in 0..self.decode {
-            let id = EndpointId::new(&name(EndpointRole::Decode, number));
+            let id = EndpointId::new(name(EndpointRole::Decode, number));
             self.balancer.begin(&id, &generations, at(0));
         }
         let prompt = Load { requests: 1, prompt_tokens: 3_000, memory_tokens: 3_000 };
@@ -52,7 +52,7 @@
             let reading = (due as usize).min(self.prefill);
             due -= reading as f64;
             let ids = (0..reading).map(|number| name(EndpointRole::Prefill, number));
-            let ids: Vec<EndpointId> = ids.map(|id| EndpointId::new(&id)).collect();
+            let ids: Vec<EndpointId> = ids.map(|id| EndpointId::new(id)).collect();
             ids.iter().for_each(|id| self.balancer.begin(id, &prompt, now));
             let service = service();
             let engines = || self.balancer.in_service(&service, now);
