--- a/src/balance/waiting_line.rs
+++ b/src/balance/waiting_line.rs
@@ -6,8 +6,10 @@
 
 use crate::clock::Instant;
 
-/// Span over which placements are counted to tell how fast the line moves.
+/// Longest span over which placements are counted to tell how fast the line moves.
 const PLACED_WINDOW_MS: u64 = 2_000;
+/// Time for which somebody must have waited before the pace of the line is known.
+const MIN_OBSERVED_MS: u64 = 500;
 
 /// Requests that wait for an endpoint, in the order in which they are placed: those that can
 /// still be on time first, by the moment they are due, larger ones behind smaller ones; then the
@@ -24,6 +26,8 @@
     waiting: BTreeMap<u64, Waiting>,
     /// Recent placements, oldest first.
     placed: VecDeque<Instant>,
+    /// Since when somebody has waited at any moment.
+    waiting_since: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -42,8 +46,9 @@
 impl WaitingLine {
     /// Joins the line. `due_at` is the last moment at which placing the request makes it be on
     /// time; `handicap_ms` puts a request that takes more than others behind them.
-    pub fn join(&self, due_at: Instant, handicap_ms: u64) -> Ticket {
+    pub fn join(&self, due_at: Instant, handicap_ms: u64, now: Instant) -> Ticket {
         let mut state = self.state.borrow_mut();
+        state.waiting_since.get_or_insert(now);
         let number = state.next_number;
         state.next_number += 1;
         state.waiting.insert(number, Waiting { due_at, handicap_ms });
@@ -67,11 +72,18 @@
         }
     }
 
-    /// Time until all that wait now are placed, at the present pace.
+    /// Time until all that wait now are placed, at the present pace. Only the time in which
+    /// somebody waited tells the pace: with few requests few are placed, however much room there
+    /// is. 0 while it is not known.
     pub fn expected_wait_ms(&self, now: Instant) -> u64 {
         let state = self.state.borrow();
-        let placed = state.placed.iter().filter(|at| now.ms_since(**at) <= PLACED_WINDOW_MS);
-        state.waiting.len() as u64 * PLACED_WINDOW_MS / placed.count().max(2) as u64
+        let Some(since) = state.waiting_since else { return 0 };
+        let observed_ms = now.ms_since(since).min(PLACED_WINDOW_MS);
+        if observed_ms < MIN_OBSERVED_MS {
+            return 0;
+        }
+        let placed = state.placed.iter().filter(|at| now.ms_since(**at) <= observed_ms);
+        state.waiting.len() as u64 * observed_ms / placed.count().max(1) as u64
     }
 
     /// Waits until somebody has left the line.
@@ -95,7 +107,12 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.line.state.borrow_mut().waiting.remove(&self.number);
+        let mut state = self.line.state.borrow_mut();
+        state.waiting.remove(&self.number);
+        if state.waiting.is_empty() {
+            state.waiting_since = None;
+        }
+        drop(state);
         self.line.moved.notify_waiters();
     }
 }
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -212,7 +212,7 @@
         }
         let target_ms = scope.route.target_latency_ms.saturating_sub(USUAL_FIRST_EVENT_MS);
         let due_at = arrived_at.plus_ms(target_ms);
-        let ticket = line.join(due_at, handicap_ms(scope));
+        let ticket = line.join(due_at, handicap_ms(scope), now);
         loop {
             let now = self.parts.clock.now();
             if ticket.is_next(now) || prefill.is_some() {
