--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -19,7 +19,7 @@
 use crate::forward::request_log::RequestLog;
 use crate::forward::request_scope::{QuotaCharge, RequestScope};
 use crate::forward::{
-    AnswerKind, CallerRequest, Codec, Connections, Crashes, Leg, LegError, Refusal,
+    AnswerKind, CallerRequest, Codec, Connections, Crashes, Leg, LegError, Refusal, RequestLabels,
 };
 use crate::http::{Handler, ResponseBody};
 use crate::quota::Quotas;
@@ -54,11 +54,17 @@
     retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
     /// Generations that wait for an engine, by service.
     lines: RefCell<HashMap<ServiceId, WaitingLine>>,
+    labels: Rc<RequestLabels>,
 }
 
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     pub fn new(parts: ForwarderParts<K, D, C>) -> Rc<Forwarder<K, D, C>> {
-        Rc::new(Forwarder { parts, retry_windows: RefCell::default(), lines: RefCell::default() })
+        Rc::new(Forwarder {
+            parts,
+            retry_windows: RefCell::default(),
+            lines: RefCell::default(),
+            labels: Rc::default(),
+        })
     }
 
     async fn serve(
@@ -72,7 +78,8 @@
             .codec
             .read_request(&head)
             .map_err(|malformed| Refusal::Malformed { reason: malformed.reason })?;
-        let mut log = RequestLog::new(parts.clock.clone(), request.attempt.clone());
+        let mut log =
+            RequestLog::new(parts.clock.clone(), Rc::clone(&self.labels), request.attempt.clone());
         log.configuration_version = configuration.version().0;
         if let Some(size) = &request.generation {
             log.size = size.to_smolstr();
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -1,12 +1,16 @@
+use std::rc::Rc;
+
 use metrics::{counter, histogram};
 use smol_str::SmolStr;
 
 use crate::clock::{Clock, Instant};
+use crate::forward::RequestLabels;
 
 /// What is written of a request when it ends, also when its caller has gone.
 #[derive(Debug)]
 pub struct RequestLog<C: Clock> {
     clock: C,
+    labels: Rc<RequestLabels>,
     pub request: SmolStr,
     pub route: SmolStr,
     pub organisation: SmolStr,
@@ -21,10 +25,11 @@
 }
 
 impl<C: Clock> RequestLog<C> {
-    pub fn new(clock: C, request: SmolStr) -> RequestLog<C> {
+    pub fn new(clock: C, labels: Rc<RequestLabels>, request: SmolStr) -> RequestLog<C> {
         let started_at = clock.now();
         RequestLog {
             clock,
+            labels,
             request,
             route: SmolStr::default(),
             organisation: SmolStr::default(),
@@ -65,10 +70,17 @@
             configuration = self.configuration_version, outcome = outcome,
             size = self.size.as_str(), sends = self.sends.as_str(), first_ms = self.first_answer_ms.unwrap_or(0),
             total_ms = total_ms; "request ended");
-        counter!("almondroad_node_requests_total", "outcome" => outcome).increment(1);
+        let organisation = self.labels.organisations.shown(&self.organisation).to_string();
+        counter!("almondroad_node_requests_total", "outcome" => outcome,
+            "organisation" => organisation.clone())
+        .increment(1);
         if let Some(first_ms) = self.first_answer_ms {
-            histogram!("almondroad_node_first_answer_seconds", "route" => self.route.to_string())
-                .record(first_ms as f64 / 1000.0);
+            let first_s = first_ms as f64 / 1000.0;
+            let route = self.labels.routes.shown(&self.route).to_string();
+            histogram!("almondroad_node_first_answer_seconds", "route" => route).record(first_s);
+            histogram!("almondroad_node_organisation_first_answer_seconds",
+                "organisation" => organisation)
+            .record(first_s);
         }
     }
 }
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::gauge;
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
@@ -68,9 +69,21 @@
         node.balancer.borrow_mut().set_instances(serving);
         node.quotas.borrow_mut().set_share(share);
         node.connections.expire();
+        show_state(&node);
     }
 }
 
+/// Shows in the metrics what this instance believes.
+fn show_state<A: PlatformAdapter, C: Clock>(node: &NodeState<A, C>) {
+    let version = node.catalog.configuration().map_or(0, |known| known.version().0);
+    let is_steady = node.followers.iter().all(|follower| follower.is_steady());
+    gauge!("almondroad_node_configuration_version").set(version as f64);
+    gauge!("almondroad_node_store_steady").set(f64::from(u8::from(is_steady)));
+    gauge!("almondroad_node_live_instances").set(node.members.borrow().live_count() as f64);
+    gauge!("almondroad_node_endpoints").set(node.balancer.borrow().len() as f64);
+    gauge!("almondroad_node_requests_in_flight").set(f64::from(node.in_flight.get()));
+}
+
 /// Registers this instance and finds others.
 pub(super) async fn discover<A: PlatformAdapter, C: Clock>(node: Rc<NodeState<A, C>>) {
     let address = node.settings.address;
--- /dev/null
+++ b/tests/node/labels.rs
@@ -0,0 +1,15 @@
+use almondroad::forward::LabelSet;
+use smol_str::{SmolStr, format_smolstr};
+
+/// Guards against metrics that grow with the configuration: thousands of organisations and routes
+/// would each keep a histogram.
+#[test]
+fn only_the_first_values_are_shown_by_name() {
+    let labels = LabelSet::default();
+    let shown: Vec<SmolStr> =
+        (0..1_000).map(|number| labels.shown(&format_smolstr!("organisation-{number}"))).collect();
+    assert_eq!(shown[63], "organisation-63");
+    assert_eq!(shown[64], "(others)");
+    assert_eq!(labels.shown(&"organisation-7".into()), "organisation-7");
+    assert_eq!(labels.shown(&"organisation-900".into()), "(others)");
+}
--- a/tests/node/roles.rs
+++ b/tests/node/roles.rs
@@ -52,7 +52,7 @@
             let reading = (due as usize).min(self.prefill);
             due -= reading as f64;
             let ids = (0..reading).map(|number| name(EndpointRole::Prefill, number));
-            let ids: Vec<EndpointId> = ids.map(|id| EndpointId::new(id)).collect();
+            let ids: Vec<EndpointId> = ids.map(EndpointId::new).collect();
             ids.iter().for_each(|id| self.balancer.begin(id, &prompt, now));
             let service = service();
             let engines = || self.balancer.in_service(&service, now);
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -5,6 +5,7 @@
     mod catalog;
     mod crashes;
     mod event_splitter;
+    mod labels;
     mod line;
     mod load_pattern;
     mod members;
