--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -17,6 +17,9 @@
 const DEPLOYMENT: Deployment = Deployment::Association;
 const LIMIT: Duration = Duration::from_secs(20);
 const COMPLETIONS: &str = "/v1/completions";
+/// Time within which a request that crashes its engine reaches it: longer than the queue and the
+/// retries of a request together, shorter than the limit of a test.
+const CRASH_WAIT: Duration = Duration::from_secs(30);
 
 /// A platform, engines, a plain service and one gateway.
 struct World {
@@ -452,10 +455,13 @@
         let mut first = world.fleet.prefill.remove(0);
         let seen = world.send(Method::POST, COMPLETIONS, &auth, body.clone());
         let restart = async {
-            first.wait().await;
-            world.fleet.restart_standin(&world.fleet.prefill[0], "engine").await.unwrap()
+            tokio::time::timeout(CRASH_WAIT, first.wait()).await.ok()?;
+            Some(world.fleet.restart_standin(&world.fleet.prefill[0], "engine").await.unwrap())
+        };
+        let (seen, second) = tokio::join!(seen, restart);
+        let Some(mut second) = second else {
+            panic!("the first engine did not end, the answer was {} {}", seen.status, seen.text)
         };
-        let (seen, mut second) = tokio::join!(seen, restart);
         let code = &seen.json()["error"]["code"];
         assert_eq!((seen.status, code), (422, &json!("request_crashes_endpoints")));
         assert_eq!(seen.outcome(), "run", "{}", seen.text);
