--- a/src/node/role_orders.rs
+++ b/src/node/role_orders.rs
@@ -119,7 +119,10 @@
         accepted_orders: report.accepted_orders,
     };
     let codec = node.forwarder.codec();
-    let Some(request) = codec.order_request(endpoint, &order) else { return false };
+    let Some(request) = codec.order_request(endpoint, &order) else {
+        log::warn!(target: "roles", endpoint = endpoint.id.as_str(); "order cannot be written");
+        return false;
+    };
     let answer = call(node, endpoint, request).await;
     let answer = answer.map(|(status, _)| codec.read_order_answer(status));
     log::info!(target: "roles", endpoint = endpoint.id.as_str(), zone = endpoint.zone.as_str(),
@@ -147,7 +150,13 @@
     let codec = node.forwarder.codec();
     let request = codec.report_request(endpoint)?;
     match call(node, endpoint, request).await {
-        Ok((StatusCode::OK, body)) => codec.read_report(&body),
+        Ok((StatusCode::OK, body)) => {
+            let report = codec.read_report(&body);
+            if report.is_none() {
+                log::warn!(target: "roles", endpoint = endpoint.id.as_str(); "malformed report");
+            }
+            report
+        }
         Ok((status, _)) => {
             log::info!(target: "roles", endpoint = endpoint.id.as_str(),
                 status = status.as_u16(); "no report");
