--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -88,6 +88,11 @@
         !self.is_leaving.get() && self.catalog.is_complete()
     }
 
+    /// Whether reads of all tables of the store have succeeded for some time.
+    pub fn is_store_steady(&self) -> bool {
+        self.followers.iter().all(|follower| follower.is_steady())
+    }
+
     pub fn follower(&self, topic: Topic) -> &Rc<Follower<A::Store, C>> {
         &self.followers[topic.index()]
     }
@@ -116,7 +121,7 @@
             zone: self.settings.zone.as_str().into(),
             is_ready: self.is_ready(),
             is_leaving: self.is_leaving.get(),
-            is_store_steady: self.followers.iter().all(|follower| follower.is_steady()),
+            is_store_steady: self.is_store_steady(),
             versions: [0, 1].map(|index: usize| self.followers[index].content_version()),
             loads: self.balancer.borrow().own_loads(now),
             spent: self.quotas.borrow().own_spent(),
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -76,9 +76,8 @@
 /// Shows in the metrics what this instance believes.
 fn show_state<A: PlatformAdapter, C: Clock>(node: &NodeState<A, C>) {
     let version = node.catalog.configuration().map_or(0, |known| known.version().0);
-    let is_steady = node.followers.iter().all(|follower| follower.is_steady());
     gauge!("almondroad_node_configuration_version").set(version as f64);
-    gauge!("almondroad_node_store_steady").set(f64::from(u8::from(is_steady)));
+    gauge!("almondroad_node_store_steady").set(f64::from(u8::from(node.is_store_steady())));
     gauge!("almondroad_node_live_instances").set(node.members.borrow().live_count() as f64);
     gauge!("almondroad_node_endpoints").set(node.balancer.borrow().len() as f64);
     gauge!("almondroad_node_requests_in_flight").set(f64::from(node.in_flight.get()));
