Log and count reads of the store and pulls from peers

Every failed read is logged with its duration, a newer peer when it is noticed, and the peer of a pull; three metrics count reads, pulls and the age of the last successful read. No change of logic.

--- a/src/node/peer_pull.rs
+++ b/src/node/peer_pull.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
+use metrics::counter;
 
 use crate::clock::Clock;
 use crate::http::{HttpClient, HttpError};
@@ -33,11 +34,19 @@
             };
             // Pulls only if the replica was already behind at the previous check.
             if !std::mem::replace(was_behind, true) {
+                log::info!(target: "fleet", topic = topic.to_string().as_str(),
+                    peer = peer.to_string().as_str(), content_version = own_version;
+                    "peer has a newer replica");
                 continue;
             }
             let address = format!("{peer}:{}", node.settings.peer_address.port());
-            match fetch_snapshot(&address, topic).await {
-                Ok(snapshot) => node.follower(topic).apply_peer_snapshot(snapshot),
+            let fetched = fetch_snapshot(&address, topic).await;
+            let result = if fetched.is_ok() { "ok" } else { "failed" };
+            counter!("almondroad_node_peer_pulls_total", "topic" => topic.to_string(),
+                "result" => result)
+            .increment(1);
+            match fetched {
+                Ok(snapshot) => node.follower(topic).apply_peer_snapshot(peer, snapshot),
                 Err(error) => log::info!(target: "fleet", topic = topic.to_string().as_str(),
                     error = error.to_string().as_str(); "failed to pull replica from peer"),
             }
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -6,7 +6,7 @@
 use metrics::gauge;
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Instant};
 use crate::fleet::InstanceRegistry;
 use crate::node::{NodeState, PlatformAdapter};
 use crate::replica::{RowChange, Topic};
@@ -74,15 +74,22 @@
         node.balancer.borrow_mut().set_instances(serving);
         node.quotas.borrow_mut().set_limit_share(share);
         node.connections.close_expired();
-        update_gauges(&node);
+        update_gauges(&node, now);
     }
 }
 
 /// Updates the gauges that show this instance's view of the system.
-fn update_gauges<A: PlatformAdapter, C: Clock>(node: &NodeState<A, C>) {
+fn update_gauges<A: PlatformAdapter, C: Clock>(node: &NodeState<A, C>, now: Instant) {
     let version = node.catalog.configuration().map_or(0, |known| known.version().0);
     gauge!("almondroad_node_configuration_version").set(version as f64);
     gauge!("almondroad_node_store_steady").set(f64::from(u8::from(node.is_store_steady())));
+    for topic in Topic::ALL {
+        if let Some(confirmed_at) = node.follower(topic).confirmed_at() {
+            let age_s = now.ms_since(confirmed_at) as f64 / 1000.0;
+            gauge!("almondroad_node_store_read_age_seconds", "topic" => topic.to_string())
+                .set(age_s);
+        }
+    }
     gauge!("almondroad_node_live_instances").set(node.members.borrow().live_count() as f64);
     gauge!("almondroad_node_endpoints").set(node.balancer.borrow().len() as f64);
     gauge!("almondroad_node_requests_in_flight").set(f64::from(node.in_flight.get()));
--- a/src/replica/follower.rs
+++ b/src/replica/follower.rs
@@ -1,7 +1,9 @@
 use std::cell::{Cell, RefCell};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::counter;
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::{Clock, Instant};
@@ -78,14 +80,15 @@
     }
 
     /// Applies a snapshot read from a peer if it is newer than the replica.
-    pub fn apply_peer_snapshot(&self, snapshot: Snapshot) {
+    pub fn apply_peer_snapshot(&self, peer: Ipv4Addr, snapshot: Snapshot) {
         let version = snapshot.version;
         if version <= self.version() {
             return;
         }
         let changes = self.replica.borrow_mut().apply_snapshot(snapshot);
         log::info!(target: "replica", topic = self.topic.to_string().as_str(), version = version,
-            changes = changes.len(); "applied snapshot from peer");
+            peer = peer.to_string().as_str(), changes = changes.len();
+            "applied snapshot from peer");
         self.publish_nonempty(changes);
         self.restart_poll.notify_one();
     }
@@ -100,11 +103,13 @@
                 tokio::time::sleep(Duration::from_millis(READER_CHECK_MS)).await;
                 continue;
             }
+            let started_at = self.clock.now();
             let read = tokio::select! {
                 read = self.poll_source() => read,
                 () = self.restart_poll.notified() => continue,
             };
             let now = self.clock.now();
+            self.record_read(&read, now.ms_since(started_at));
             match read {
                 Ok(changes) => {
                     if retry_ms > MIN_RETRY_MS {
@@ -118,15 +123,17 @@
                 Err(SourceError::HistoryTruncated) => {
                     log::info!(target: "replica", topic = self.topic.to_string().as_str(),
                         version = self.version(); "change history truncated, reading all rows");
-                    match self.source.read_all(self.topic).await {
+                    let snapshot = self.source.read_all(self.topic).await;
+                    self.record_read(&snapshot, self.clock.now().ms_since(now));
+                    match snapshot {
                         Ok(snapshot) => {
                             let changes = self.replica.borrow_mut().apply_snapshot(snapshot);
                             self.publish_nonempty(changes);
                         }
-                        Err(error) => self.back_off(&error, &mut retry_ms).await,
+                        Err(_) => self.back_off(&mut retry_ms).await,
                     }
                 }
-                Err(error) => self.back_off(&error, &mut retry_ms).await,
+                Err(_) => self.back_off(&mut retry_ms).await,
             }
         }
     }
@@ -147,11 +154,24 @@
         Ok(self.replica.borrow_mut().apply_changes(changes))
     }
 
-    async fn back_off(&self, error: &SourceError, retry_ms: &mut u64) {
-        if *retry_ms == MIN_RETRY_MS {
+    /// Counts a read of the store, and logs a failed one with the time it took.
+    fn record_read<T>(&self, read: &Result<T, SourceError>, read_ms: u64) {
+        let result = match read {
+            Ok(_) => "ok",
+            Err(SourceError::HistoryTruncated) => "truncated",
+            Err(SourceError::Unavailable { .. }) => "failed",
+        };
+        counter!("almondroad_node_store_reads_total", "topic" => self.topic.to_string(),
+            "result" => result)
+        .increment(1);
+        if let Err(error @ SourceError::Unavailable { .. }) = read {
             log::warn!(target: "replica", topic = self.topic.to_string().as_str(),
-                version = self.version(), error = error.to_string().as_str(); "store read failed");
+                version = self.version(), read_ms = read_ms, error = error.to_string().as_str();
+                "store read failed");
         }
+    }
+
+    async fn back_off(&self, retry_ms: &mut u64) {
         self.last_failure.set(Some(self.clock.now()));
         tokio::time::sleep(Duration::from_millis(*retry_ms)).await;
         *retry_ms = (*retry_ms * 2).min(MAX_RETRY_MS);
