Test three ways in which a confirmed configuration arrives late

So that they need no network, the pull moves behind a trait into replica/, one task a topic instead of one for both. Its decisions and time-outs are unchanged.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,7 +7,7 @@
 mod node_handler;
 mod node_settings;
 mod node_state;
-mod peer_pull;
+mod peer_replicas;
 mod platform_adapter;
 mod role_orders;
 mod run;
--- a/src/node/node_handler.rs
+++ b/src/node/node_handler.rs
@@ -54,7 +54,7 @@
         let topic = topic.and_then(|name| Topic::ALL.into_iter().find(|t| t.to_string() == name));
         let Some(topic) = topic else { return empty_response(StatusCode::NOT_FOUND) };
         let snapshot = self.0.follower(topic).replica().snapshot();
-        match postcard::to_stdvec(&snapshot) {
+        match snapshot.encode() {
             Ok(bytes) => Response::new(ResponseBody::full(bytes)),
             Err(error) => {
                 log::error!(target: "fleet", "failed to encode replica: {error}");
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -16,11 +16,11 @@
 use crate::http::{Handler, ServeOptions, Transport, serve_with};
 use crate::node::drain::drain;
 use crate::node::node_handler::{CallerHandler, MetricsHandler, PeerHandler};
-use crate::node::peer_pull::pull_from_peers;
+use crate::node::peer_replicas::PeerReplicas;
 use crate::node::role_orders::coordinate_roles;
 use crate::node::tasks::{apply_changes, run_discovery, run_maintenance};
 use crate::node::{NodeError, NodeSettings, NodeState, PlatformAdapter};
-use crate::replica::{RowChange, Topic};
+use crate::replica::{PeerPull, RowChange, Topic};
 use crate::settings::load_settings;
 
 /// Upper bounds of the buckets of latency histograms.
@@ -138,11 +138,16 @@
         run_discovery(state).await;
         "discovery"
     });
-    let state = Rc::clone(node);
-    tasks.spawn_local(async move {
-        pull_from_peers(state).await;
-        "pull"
-    });
+    let peers = Rc::new(PeerReplicas::new(node.settings.peer_address.port()));
+    for topic in Topic::ALL {
+        let follower = Rc::clone(node.follower(topic));
+        let members = Rc::clone(&node.members);
+        let pull = PeerPull::new(topic, Rc::clone(&peers), follower, members);
+        tasks.spawn_local(async move {
+            pull.run().await;
+            "pull"
+        });
+    }
     let state = Rc::clone(node);
     tasks.spawn_local(async move {
         coordinate_roles(state).await;
--- a/src/replica/source.rs
+++ b/src/replica/source.rs
@@ -1,15 +1,7 @@
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::replica::{RowChange, Topic};
-
-/// All rows of a table at one version of the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    pub version: u64,
-    pub rows: Vec<RowChange>,
-}
+use crate::replica::{RowChange, Snapshot, Topic};
 
 /// Rows that changed after a requested version and up to `version`, oldest first.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,12 +10,12 @@
     pub rows: Vec<RowChange>,
 }
 
-/// Reasons why the store could not be read or written.
+/// Reasons why the store or a peer could not be read, or the store not written.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum SourceError {
     #[display("the change history since the requested version has been truncated")]
     HistoryTruncated,
-    #[display("the store is unavailable: {reason}")]
+    #[display("unavailable: {reason}")]
     Unavailable { reason: SmolStr },
 }
 
--- a/tests/node/members.rs
+++ b/tests/node/members.rs
@@ -7,7 +7,7 @@
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 const PEER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
 
-fn status(run: u64, sequence: u64) -> Status {
+pub fn status(run: u64, sequence: u64) -> Status {
     Status {
         run,
         sequence,
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -6,11 +6,13 @@
     mod catalog;
     mod crashes;
     mod event_splitter;
+    mod follower;
     mod labels;
     mod load_pattern;
     mod members;
     mod memory_pattern;
     mod order_lease;
+    mod peer_pull;
     mod quota;
     mod replica;
     mod retry_window;
