Ask a store that may be silent with short reads

Cause: after a failed read the next one was a long poll again. A store that accepts calls and does not answer leaves it open until its time-out, 5.5 s, even if the store has returned meanwhile. Instances that were started together, or got the same change together, polled in step, so that no one was ahead whose replica the others could have pulled. The class is a time-out of the normal case that is also used to find out whether the other side is back, and work in step at many instances.

Now a read that follows a failure, or the first one of an instance that becomes a reader, does not wait for changes; long polls begin once one has succeeded. The pause between such reads grows with the number of instances whose reads fail, so that the fleet calls at one rate: 300 ms for one, 2 s for 20 or more, each 25% earlier or later. Before it was 0.1 to 0.5 s at every instance. The first poll after a change lasts 0.5 to 4 s at random, later ones 4 s as before. A full read after a truncated history that brings nothing new is no longer repeated without a pause.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -188,6 +188,11 @@
         before.count()
     }
 
+    /// Number of live peers whose reads of the store fail.
+    pub fn unsteady_count(&self) -> usize {
+        self.live().filter(|(_, member)| !member.is_store_steady).count()
+    }
+
     /// A random sample of live peers, from which receivers of a status learn about them.
     pub fn sample_live(&self) -> Vec<Ipv4Addr> {
         let live: Vec<Ipv4Addr> = self.live().map(|(address, _)| *address).collect();
--- a/src/replica/follower.rs
+++ b/src/replica/follower.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use metrics::counter;
+use rand::Rng;
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::{Clock, Instant};
@@ -12,12 +13,16 @@
 
 /// Length of a long poll. Bounds the time until a silently broken connection is detected.
 const POLL_MS: u64 = 4_000;
+/// Shortest first poll after a change.
+const MIN_FIRST_POLL_MS: u64 = 500;
 /// Interval at which an instance that does not read the store checks whether it has become a
 /// reader.
 const READER_CHECK_MS: u64 = 300;
-/// Initial delay after a failed read; doubles with each failure up to `MAX_RETRY_MS`.
-const MIN_RETRY_MS: u64 = 100;
-const MAX_RETRY_MS: u64 = 500;
+/// Delay after a failed read, for each instance whose reads fail, and its bounds. A store that has
+/// just returned is called at a rate that does not grow with the fleet.
+const RETRY_PER_FAILING_MS: u64 = 100;
+const MIN_RETRY_MS: u64 = 300;
+const MAX_RETRY_MS: u64 = 2_000;
 /// Time after a failed read during which reads of the store do not count as steady.
 const STEADY_AFTER_MS: u64 = 3_000;
 
@@ -31,6 +36,9 @@
     changes: mpsc::UnboundedSender<(Topic, Vec<RowChange>)>,
     last_failure: Cell<Option<Instant>>,
     confirmed_at: Cell<Option<Instant>>,
+    /// Duration of the next long poll; `None` until a short read has succeeded, since a store that
+    /// is silent leaves a long poll open even after its return.
+    next_poll_ms: Cell<Option<u64>>,
     /// Restarts the running poll, whose version is outdated once a peer's snapshot is applied.
     restart_poll: Notify,
 }
@@ -52,6 +60,7 @@
             changes,
             last_failure: Cell::new(None),
             confirmed_at: Cell::new(None),
+            next_poll_ms: Cell::new(None),
             restart_poll: Notify::new(),
         }
     }
@@ -90,91 +99,97 @@
             peer = peer.to_string().as_str(), changes = changes.len();
             "applied snapshot from peer");
         self.publish_nonempty(changes);
+        // The running poll has not delivered the change, so the store may be silent.
+        self.next_poll_ms.set(None);
         self.restart_poll.notify_one();
     }
 
     /// Follows the source until the receiver of the changes is dropped. In a large fleet only some
     /// instances poll the store; the others use it just for their first snapshot.
     pub async fn run(&self) {
-        let mut retry_ms = MIN_RETRY_MS;
         while !self.changes.is_closed() {
             let is_reader = self.members.borrow().is_reader(self.is_steady());
             if !is_reader && self.version() > 0 {
+                self.next_poll_ms.set(None);
                 tokio::time::sleep(Duration::from_millis(READER_CHECK_MS)).await;
                 continue;
             }
             let started_at = self.clock.now();
             let read = tokio::select! {
-                read = self.poll_source() => read,
+                read = self.read_source() => read,
                 () = self.restart_poll.notified() => continue,
             };
             let now = self.clock.now();
             self.record_read(&read, now.ms_since(started_at));
             match read {
                 Ok(changes) => {
-                    if retry_ms > MIN_RETRY_MS {
-                        log::info!(target: "replica", topic = self.topic.to_string().as_str(),
-                            version = self.version(); "store reads succeed again");
-                    }
-                    retry_ms = MIN_RETRY_MS;
+                    // Polls that start at a random point after a change do not all end in the same
+                    // outage, so that some instance soon notices the end of a silent one.
+                    let poll_ms = if changes.is_empty() && self.next_poll_ms.get().is_some() {
+                        POLL_MS
+                    } else {
+                        rand::rng().random_range(MIN_FIRST_POLL_MS..=POLL_MS)
+                    };
+                    self.next_poll_ms.set(Some(poll_ms));
                     self.confirmed_at.set(Some(now));
                     self.publish_nonempty(changes);
                 }
-                Err(SourceError::HistoryTruncated) => {
-                    log::info!(target: "replica", topic = self.topic.to_string().as_str(),
-                        version = self.version(); "change history truncated, reading all rows");
-                    let snapshot = self.source.read_all(self.topic).await;
-                    self.record_read(&snapshot, self.clock.now().ms_since(now));
-                    match snapshot {
-                        Ok(snapshot) => {
-                            let changes = self.replica.borrow_mut().apply_snapshot(snapshot);
-                            self.publish_nonempty(changes);
-                        }
-                        Err(_) => self.back_off(&mut retry_ms).await,
-                    }
-                }
-                Err(_) => self.back_off(&mut retry_ms).await,
+                Err(_) => self.wait_to_retry().await,
             }
         }
     }
 
-    async fn poll_source(&self) -> Result<Vec<RowChange>, SourceError> {
+    /// Reads all changes since the replica's version, or all rows if there is none or the history
+    /// does not reach back to it.
+    async fn read_source(&self) -> Result<Vec<RowChange>, SourceError> {
         let version = self.version();
-        if version == 0 {
-            let snapshot = self.source.read_all(self.topic).await?;
-            let is_table_empty = snapshot.rows.is_empty();
-            let changes = self.replica.borrow_mut().apply_snapshot(snapshot);
-            // An empty table yields no changes, but the receiver must learn that it was read.
-            if is_table_empty {
-                self.publish(Vec::new());
+        if version > 0 {
+            let poll_ms = self.next_poll_ms.get().unwrap_or(0);
+            match self.source.read_changes(self.topic, version, poll_ms).await {
+                Err(SourceError::HistoryTruncated) => {}
+                read => return Ok(self.replica.borrow_mut().apply_changes(read?)),
             }
-            return Ok(changes);
+            log::info!(target: "replica", topic = self.topic.to_string().as_str(),
+                version = version; "change history truncated, reading all rows");
+        }
+        let snapshot = self.source.read_all(self.topic).await?;
+        let is_table_empty = snapshot.rows.is_empty();
+        let changes = self.replica.borrow_mut().apply_snapshot(snapshot);
+        // An empty table yields no changes, but the receiver must learn that it was read.
+        if version == 0 && is_table_empty {
+            self.publish(Vec::new());
         }
-        let changes = self.source.read_changes(self.topic, version, POLL_MS).await?;
-        Ok(self.replica.borrow_mut().apply_changes(changes))
+        Ok(changes)
     }
 
-    /// Counts a read of the store, and logs a failed one with the time it took.
-    fn record_read<T>(&self, read: &Result<T, SourceError>, read_ms: u64) {
-        let result = match read {
-            Ok(_) => "ok",
-            Err(SourceError::HistoryTruncated) => "truncated",
-            Err(SourceError::Unavailable { .. }) => "failed",
-        };
+    /// Counts a read of the store. Logs a failed one with the time it took, and the first one that
+    /// succeeds after it.
+    fn record_read(&self, read: &Result<Vec<RowChange>, SourceError>, read_ms: u64) {
+        let result = if read.is_ok() { "ok" } else { "failed" };
         counter!("almondroad_node_store_reads_total", "topic" => self.topic.to_string(),
             "result" => result)
         .increment(1);
-        if let Err(error @ SourceError::Unavailable { .. }) = read {
-            log::warn!(target: "replica", topic = self.topic.to_string().as_str(),
-                version = self.version(), read_ms = read_ms, error = error.to_string().as_str();
-                "store read failed");
+        let topic = self.topic.to_string();
+        let (topic, version) = (topic.as_str(), self.version());
+        match read {
+            Ok(_) if self.last_failure.get() > self.confirmed_at.get() => {
+                log::info!(target: "replica", topic = topic, version = version;
+                    "store reads succeed again");
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!(target: "replica", topic = topic, version = version,
+                read_ms = read_ms, error = error.to_string().as_str(); "store read failed"),
         }
     }
 
-    async fn back_off(&self, retry_ms: &mut u64) {
+    /// Waits after a failed read. All instances whose reads fail share one rate of calls.
+    async fn wait_to_retry(&self) {
         self.last_failure.set(Some(self.clock.now()));
-        tokio::time::sleep(Duration::from_millis(*retry_ms)).await;
-        *retry_ms = (*retry_ms * 2).min(MAX_RETRY_MS);
+        self.next_poll_ms.set(None);
+        let failing = 1 + self.members.borrow().unsteady_count() as u64;
+        let delay_ms = (RETRY_PER_FAILING_MS * failing).clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+        let delay_ms = rand::rng().random_range(delay_ms * 3 / 4..=delay_ms * 5 / 4);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
 
     fn publish_nonempty(&self, changes: Vec<RowChange>) {
--- a/tests/node/follower.rs
+++ b/tests/node/follower.rs
@@ -31,6 +31,8 @@
     down_at: Cell<Instant>,
     up_at: Cell<Instant>,
     calls: Cell<u32>,
+    /// Durations of the long polls.
+    polls_ms: RefCell<Vec<u64>>,
 }
 
 impl FakeStore {
@@ -86,6 +88,9 @@
         version: u64,
         wait_ms: u64,
     ) -> Result<Changes, SourceError> {
+        if wait_ms > 0 {
+            self.polls_ms.borrow_mut().push(wait_ms);
+        }
         self.answer(version, wait_ms).await?;
         Ok(Changes { version: self.version(), rows: self.rows() })
     }
@@ -102,6 +107,7 @@
         down_at: Cell::new(start.plus_ms(10_000)),
         up_at: Cell::new(start.plus_ms(10_000 + down_for_ms)),
         calls: Cell::new(0),
+        polls_ms: RefCell::default(),
     });
     let members = Rc::new(RefCell::new(Members::new(Ipv4Addr::new(10, 0, 0, 1), start)));
     let (changes, _receiver) = mpsc::unbounded_channel();
@@ -154,3 +160,36 @@
         })
         .await;
 }
+
+/// Guards against polls that all instances start together after a change and that therefore all end
+/// in the same silent outage, or after its end.
+#[tokio::test(start_paused = true)]
+async fn polls_of_several_instances_end_at_different_times() {
+    let polls = async {
+        let clock = TokioClock::new();
+        let now = clock.now();
+        let store = Rc::new(FakeStore {
+            clock,
+            outage: Outage::Silent,
+            down_at: Cell::new(now),
+            up_at: Cell::new(now),
+            calls: Cell::new(0),
+            polls_ms: RefCell::default(),
+        });
+        let mut receivers = Vec::new();
+        for _ in 0..40 {
+            let members = Rc::new(RefCell::new(Members::new(Ipv4Addr::new(10, 0, 0, 1), now)));
+            let (changes, receiver) = mpsc::unbounded_channel();
+            receivers.push(receiver);
+            let follower =
+                Follower::new(Topic::Operator, Rc::clone(&store), members, clock, changes);
+            tokio::task::spawn_local(async move { follower.run().await });
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        store.polls_ms.borrow().clone()
+    };
+    let polls_ms = LocalSet::new().run_until(polls).await;
+    assert_eq!(polls_ms.len(), 40);
+    let spread_ms = polls_ms.iter().max().unwrap() - polls_ms.iter().min().unwrap();
+    assert!(spread_ms >= 2_000, "{polls_ms:?}");
+}
