Compress replicas for peers and let slow transfers end

Cause: 50 of 58 instances do not read the store, and all of them pulled the configuration, about 0.4 MB, from the 8 that do. Most links have 10 Mbit/s, so one copy takes 0.3 s and six at once 1.9 s; each was given up after 0.6 s and begun again, which kept the links full with copies that were never used. The class is a time-out for the whole of a transfer whose size is not bounded, and retries that add to the load.

Evidence: 172 failed pulls of the operators' rows between 2 and 8 s, at many peers; half of the fleet had the version after 5.99 s, the last instance after 7.54 s, the eight readers at 2.4 s.

Now a peer that asks for it gets its replica compressed (flate2), which takes 1,440 routes to 21 KB, compressed once for each change. Instances of earlier versions neither ask for it nor send it. A transfer has 0.6 s for its head and for each part, and 5 s altogether. The peer is chosen at random among those whose last status is not overdue: the one heard from last is the same for many instances.

--- a/src/node/node_handler.rs
+++ b/src/node/node_handler.rs
@@ -4,17 +4,20 @@
 use std::rc::Rc;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{ACCEPT_ENCODING, CONNECTION, CONTENT_ENCODING, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::clock::Clock;
 use crate::http::{Handler, ResponseBody};
 use crate::node::{NodeState, PlatformAdapter};
-use crate::replica::Topic;
+use crate::replica::{SnapshotEncoding, Topic};
 
 /// Path prefix under which peers read replicas; the topic follows.
 pub(super) const REPLICA_PATH_PREFIX: &str = "/replica/";
+/// Content coding of compressed replicas. Instances of earlier versions neither ask for it nor send
+/// it.
+pub(super) const DEFLATE: &str = "deflate";
 
 /// Forwards callers' requests. While the instance drains, responses close their connections.
 pub(super) struct CallerHandler<A: PlatformAdapter, C: Clock>(pub Rc<NodeState<A, C>>);
@@ -53,9 +56,20 @@
         let topic = request.uri().path().strip_prefix(REPLICA_PATH_PREFIX);
         let topic = topic.and_then(|name| Topic::ALL.into_iter().find(|t| t.to_string() == name));
         let Some(topic) = topic else { return empty_response(StatusCode::NOT_FOUND) };
-        let snapshot = self.0.follower(topic).replica().snapshot();
-        match snapshot.encode() {
-            Ok(bytes) => Response::new(ResponseBody::full(bytes)),
+        let accepted = request.headers().get(ACCEPT_ENCODING);
+        let encoding = match accepted.is_some_and(|accepted| accepted == DEFLATE) {
+            true => SnapshotEncoding::Deflate,
+            false => SnapshotEncoding::Plain,
+        };
+        match self.0.follower(topic).encoded_snapshot(encoding) {
+            Ok(bytes) => {
+                let mut response = Response::new(ResponseBody::full(bytes));
+                if encoding == SnapshotEncoding::Deflate {
+                    let deflate = HeaderValue::from_static(DEFLATE);
+                    response.headers_mut().insert(CONTENT_ENCODING, deflate);
+                }
+                response
+            }
             Err(error) => {
                 log::error!(target: "fleet", "failed to encode replica: {error}");
                 empty_response(StatusCode::INTERNAL_SERVER_ERROR)
--- a/src/node/peer_replicas.rs
+++ b/src/node/peer_replicas.rs
@@ -5,11 +5,12 @@
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::body::Incoming;
+use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderValue};
 use smol_str::{ToSmolStr, format_smolstr};
 
 use crate::http::HttpClient;
-use crate::node::node_handler::REPLICA_PATH_PREFIX;
-use crate::replica::{PeerSource, PeerTransfer, SourceError, Topic};
+use crate::node::node_handler::{DEFLATE, REPLICA_PATH_PREFIX};
+use crate::replica::{PeerSource, PeerTransfer, SnapshotEncoding, SourceError, Topic};
 
 /// Time until the head of a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -22,6 +23,7 @@
 /// The body of a peer's response.
 pub(super) struct HttpTransfer {
     body: Incoming,
+    encoding: SnapshotEncoding,
 }
 
 impl PeerReplicas {
@@ -36,17 +38,27 @@
     async fn open(&self, peer: Ipv4Addr, topic: Topic) -> Result<HttpTransfer, SourceError> {
         let client = HttpClient::new(format!("{peer}:{}", self.port));
         let path = format!("{REPLICA_PATH_PREFIX}{topic}");
-        let request = client.request(Method::GET, &path, Bytes::new()).map_err(unavailable)?;
+        let mut request = client.request(Method::GET, &path, Bytes::new()).map_err(unavailable)?;
+        request.headers_mut().insert(ACCEPT_ENCODING, HeaderValue::from_static(DEFLATE));
         let response = client.send(request, RESPONSE_TIMEOUT).await.map_err(unavailable)?;
         if !response.status().is_success() {
             let reason = format_smolstr!("status {}", response.status());
             return Err(SourceError::Unavailable { reason });
         }
-        Ok(HttpTransfer { body: response.into_body() })
+        let coding = response.headers().get(CONTENT_ENCODING);
+        let encoding = match coding.is_some_and(|coding| coding == DEFLATE) {
+            true => SnapshotEncoding::Deflate,
+            false => SnapshotEncoding::Plain,
+        };
+        Ok(HttpTransfer { body: response.into_body(), encoding })
     }
 }
 
 impl PeerTransfer for HttpTransfer {
+    fn encoding(&self) -> SnapshotEncoding {
+        self.encoding
+    }
+
     async fn next_part(&mut self) -> Option<Result<Bytes, SourceError>> {
         let frame = self.body.frame().await?;
         Some(frame.map(|frame| frame.into_data().unwrap_or_default()).map_err(unavailable))
--- a/src/replica/follower.rs
+++ b/src/replica/follower.rs
@@ -3,13 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use metrics::counter;
 use rand::Rng;
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::{Clock, Instant};
 use crate::fleet::Members;
-use crate::replica::{Replica, RowChange, RowSource, Snapshot, SourceError, Topic};
+use crate::replica::{
+    Replica, RowChange, RowSource, Snapshot, SnapshotEncoding, SourceError, Topic,
+};
 
 /// Length of a long poll. Bounds the time until a silently broken connection is detected.
 const POLL_MS: u64 = 4_000;
@@ -41,6 +44,8 @@
     next_poll_ms: Cell<Option<u64>>,
     /// Restarts the running poll, whose version is outdated once a peer's snapshot is applied.
     restart_poll: Notify,
+    /// Compressed snapshot of the replica, with its content version.
+    compressed: RefCell<Option<(u64, Bytes)>>,
 }
 
 impl<S: RowSource, C: Clock> Follower<S, C> {
@@ -62,6 +67,7 @@
             confirmed_at: Cell::new(None),
             next_poll_ms: Cell::new(None),
             restart_poll: Notify::new(),
+            compressed: RefCell::default(),
         }
     }
 
@@ -88,6 +94,23 @@
         self.last_failure.get().is_none_or(|failed| now.ms_since(failed) > STEADY_AFTER_MS)
     }
 
+    /// The replica as peers read it. Compressed at most once for each change.
+    pub fn encoded_snapshot(&self, encoding: SnapshotEncoding) -> Result<Bytes, SourceError> {
+        let replica = self.replica.borrow();
+        if encoding == SnapshotEncoding::Plain {
+            return replica.snapshot().encode(encoding);
+        }
+        let mut compressed = self.compressed.borrow_mut();
+        match &*compressed {
+            Some((version, bytes)) if *version == replica.content_version() => Ok(bytes.clone()),
+            _ => {
+                let bytes = replica.snapshot().encode(encoding)?;
+                *compressed = Some((replica.content_version(), bytes.clone()));
+                Ok(bytes)
+            }
+        }
+    }
+
     /// Applies a snapshot read from a peer if it is newer than the replica.
     pub fn apply_peer_snapshot(&self, peer: Ipv4Addr, snapshot: Snapshot) {
         let version = snapshot.version;
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -14,7 +14,7 @@
 pub use peer_pull::PeerPull;
 pub use peer_source::{PeerSource, PeerTransfer};
 pub use row_change::RowChange;
-pub use snapshot::Snapshot;
+pub use snapshot::{Snapshot, SnapshotEncoding};
 pub use source::{Changes, RowSource, SourceError};
 pub use table_copy::Replica;
 pub use topic::Topic;
--- a/src/replica/peer_pull.rs
+++ b/src/replica/peer_pull.rs
@@ -5,15 +5,21 @@
 use std::time::Duration;
 
 use metrics::counter;
+use rand::seq::IndexedRandom;
 
 use crate::clock::{Clock, Instant};
-use crate::fleet::Members;
+use crate::fleet::{Member, Members};
 use crate::replica::{Follower, PeerSource, PeerTransfer, RowSource, Snapshot, SourceError, Topic};
 
 /// Interval between checks for peers with newer replicas. A change that the store's own feed
 /// delivers within that time is not read a second time from a peer.
 const CHECK_INTERVAL_MS: u64 = 200;
-const PULL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time until a peer responds, and between two parts of its response. A transfer that makes
+/// progress is not given up: a peer that serves many others at once sends slowly, and repeating
+/// the transfers would add to its load.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for a whole transfer.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a peer is not pulled from after a failure, as long as another one is ahead.
 const FAILED_PEER_MS: u64 = 2_000;
 
@@ -64,9 +70,7 @@
     /// Pulls from one peer after the other until a pull succeeds or none is left.
     async fn pull_until_done(&self) {
         while let Some(peer) = self.select_peer() {
-            let fetched = tokio::time::timeout(PULL_TIMEOUT, self.fetch(peer)).await;
-            let fetched = fetched
-                .unwrap_or_else(|_| Err(SourceError::Unavailable { reason: "timeout".into() }));
+            let fetched = within(TRANSFER_TIMEOUT, self.fetch(peer)).await;
             let result = if fetched.is_ok() { "ok" } else { "failed" };
             counter!("almondroad_node_peer_pulls_total", "topic" => self.topic.to_string(),
                 "result" => result)
@@ -83,27 +87,44 @@
         }
     }
 
-    /// The live peer with a newer replica that was heard from last, since it is most likely to be
-    /// reachable. Peers whose last pull failed are left out for a while.
+    /// A random live peer with a newer replica. Peers whose last pull failed are left out for a
+    /// while. A peer whose status is overdue may have stopped and is chosen only if there is no
+    /// other.
     fn select_peer(&self) -> Option<Ipv4Addr> {
         let now = self.clock.now();
         let mut failures = self.failures.borrow_mut();
         failures.retain(|_, failed_at| now.ms_since(*failed_at) < FAILED_PEER_MS);
-        let own_version = self.follower.content_version();
         let members = self.members.borrow();
-        let ahead = members.peers_ahead_of(self.topic.index(), own_version);
-        ahead
+        let overdue_ms = members.interval_ms() * 3 / 2;
+        let is_overdue = |member: &Member| {
+            member.last_received_at.is_none_or(|received_at| now.ms_since(received_at) > overdue_ms)
+        };
+        let own_version = self.follower.content_version();
+        let (overdue, recent): (Vec<_>, Vec<_>) = members
+            .peers_ahead_of(self.topic.index(), own_version)
             .filter(|(address, _)| !failures.contains_key(address))
-            .max_by_key(|(_, member)| member.last_received_at)
-            .map(|(address, _)| *address)
+            .partition(|(_, member)| is_overdue(member));
+        let candidates = if recent.is_empty() { overdue } else { recent };
+        candidates.choose(&mut rand::rng()).map(|(address, _)| **address)
     }
 
     async fn fetch(&self, peer: Ipv4Addr) -> Result<Snapshot, SourceError> {
-        let mut transfer = self.peers.open(peer, self.topic).await?;
+        let mut transfer = within(PROGRESS_TIMEOUT, self.peers.open(peer, self.topic)).await?;
         let mut encoded = Vec::new();
-        while let Some(part) = transfer.next_part().await {
-            encoded.extend_from_slice(&part?);
+        while let Some(part) =
+            within(PROGRESS_TIMEOUT, async { transfer.next_part().await.transpose() }).await?
+        {
+            encoded.extend_from_slice(&part);
         }
-        Snapshot::decode(&encoded)
+        Snapshot::decode(&encoded, transfer.encoding())
     }
 }
+
+/// Fails if `read` takes longer than `limit`.
+async fn within<T>(
+    limit: Duration,
+    read: impl Future<Output = Result<T, SourceError>>,
+) -> Result<T, SourceError> {
+    let timeout = || SourceError::Unavailable { reason: "timeout".into() };
+    tokio::time::timeout(limit, read).await.unwrap_or_else(|_| Err(timeout()))
+}
--- a/src/replica/peer_source.rs
+++ b/src/replica/peer_source.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::replica::{SourceError, Topic};
+use crate::replica::{SnapshotEncoding, SourceError, Topic};
 
 /// Reads encoded snapshots of peers' replicas.
 #[allow(async_fn_in_trait)]
@@ -16,6 +16,8 @@
 /// A running transfer of a snapshot. Dropping it ends the transfer.
 #[allow(async_fn_in_trait)]
 pub trait PeerTransfer {
+    fn encoding(&self) -> SnapshotEncoding;
+
     /// Returns the next part, or `None` at the end.
     async fn next_part(&mut self) -> Option<Result<Bytes, SourceError>>;
 }
--- a/tests/node/peer_pull.rs
+++ b/tests/node/peer_pull.rs
@@ -7,7 +7,7 @@
 use almondroad::fleet::Members;
 use almondroad::replica::{
     Changes, Follower, PeerPull, PeerSource, PeerTransfer, RowChange, RowSource, Snapshot,
-    SourceError, Topic,
+    SnapshotEncoding, SourceError, Topic,
 };
 use bytes::Bytes;
 use rand::rngs::StdRng;
@@ -72,6 +72,10 @@
 }
 
 impl PeerTransfer for FakeTransfer {
+    fn encoding(&self) -> SnapshotEncoding {
+        SnapshotEncoding::Deflate
+    }
+
     async fn next_part(&mut self) -> Option<Result<Bytes, SourceError>> {
         if self.remaining.is_empty() {
             return None;
@@ -129,8 +133,8 @@
     Ipv4Addr::new(10, 0, 0, number)
 }
 
-/// Returns the encoded snapshot of version 12 of a configuration with `routes` routes.
-fn snapshot(routes: u32) -> Bytes {
+/// Returns a configuration with `routes` routes.
+fn snapshot(version: u64, routes: u32) -> Snapshot {
     let mut random = StdRng::seed_from_u64(5);
     let mut text = String::from("{\"version\":12,\"routes\":[");
     for _ in 0..routes {
@@ -142,8 +146,8 @@
              \"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}},"
         );
     }
-    let row = RowChange { key: "config".into(), version: 12, value: Some(text.into()) };
-    Snapshot { version: 12, rows: vec![row] }.encode().unwrap().into()
+    let row = RowChange { key: "config".into(), version, value: Some(text.into()) };
+    Snapshot { version, rows: vec![row] }
 }
 
 /// Returns the time until one instance is up to date if `unreachable` of its peers stopped right
@@ -151,7 +155,7 @@
 async fn pull_time_ms(unreachable: &[u8]) -> u64 {
     let clock = TokioClock::new();
     let start = clock.now();
-    let small = snapshot(1);
+    let small = snapshot(12, 1).encode(SnapshotEncoding::Deflate).unwrap();
     let replica = |number| (!unreachable.contains(&number)).then(|| small.clone());
     let network = Network::new((0..=FLEET).map(replica).collect());
     let instance = Instance::start(1, &network, clock);
@@ -194,10 +198,15 @@
 async fn spread_time_ms(routes: u32, seed: u64) -> u64 {
     let clock = TokioClock::new();
     let start = clock.now();
-    let encoded = snapshot(routes);
+    let snapshot_before = snapshot(9, routes);
+    let snapshot = snapshot(12, routes);
+    let encoded = snapshot.encode(SnapshotEncoding::Deflate).unwrap();
     let network = Network::new(vec![None; usize::from(FLEET) + 1]);
     let instances: Vec<Instance> =
         (1..=FLEET).map(|number| Instance::start(number, &network, clock)).collect();
+    for instance in &instances {
+        instance.follower.apply_peer_snapshot(address(0), snapshot_before.clone());
+    }
     let mut random = StdRng::seed_from_u64(seed);
     let phases_ms: Vec<u64> =
         (0..FLEET).map(|_| random.random_range(0..STATUS_INTERVAL_MS / 10) * 10).collect();
@@ -209,7 +218,6 @@
             break;
         }
         if elapsed_ms == STORE_READ_MS {
-            let snapshot = Snapshot::decode(&encoded).unwrap();
             for reader in &instances[..usize::from(READERS)] {
                 reader.follower.apply_peer_snapshot(address(0), snapshot.clone());
             }
