Give up responses of endpoints that do not end

A body was read until the deadline and kept in memory: the caller of an order waited for it and got 504, and the instance could exceed its memory. A head without an end was given up before.

Bodies of endpoints are read up to 4 MiB and an event of a stream up to 1 MiB. Longer ones count as an answer that does not match the request: 502, another endpoint where the request may run again, and the connection is closed. They do not count as a crash of the endpoint.

--- a/src/forward/event_splitter.rs
+++ b/src/forward/event_splitter.rs
@@ -1,5 +1,8 @@
 use bytes::{Bytes, BytesMut};
 
+/// Maximum length of an event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Splits a server-sent event stream at event boundaries, so that an incomplete event is never
 /// forwarded.
 #[derive(Debug, Default)]
@@ -30,6 +33,12 @@
         self.events
     }
 
+    /// Returns whether the incomplete event is longer than any event may be. The bytes are then not
+    /// a stream of events, and may have no end.
+    pub fn is_overlong(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -16,6 +16,7 @@
 use crate::catalog::{Catalog, Customer, RouteKind, RowDecoder, ServiceConfiguration};
 use crate::clock::{Clock, Instant};
 use crate::forward::connection::Connection;
+use crate::forward::endpoint_body::read_endpoint_body;
 use crate::forward::request_context::{QuotaCharge, RequestContext};
 use crate::forward::request_log::RequestLog;
 use crate::forward::{
@@ -246,7 +247,8 @@
             ResponseKind::Mismatched => Err(EndpointError::Mismatched),
             kind => {
                 // The body is short. Reading it allows the connection to be reused.
-                let read = tokio::time::timeout(Duration::from_millis(50), body.collect()).await;
+                let read =
+                    tokio::time::timeout(Duration::from_millis(50), read_endpoint_body(body)).await;
                 if matches!(read, Ok(Ok(_))) {
                     parts.connections.put_idle(connection, &head.headers);
                 }
@@ -267,12 +269,10 @@
     ) -> Result<(response::Parts, Bytes), EndpointError> {
         let (head, body) = response.into_parts();
         let limit = until.remaining(self.parts.clock.now());
-        let body = tokio::time::timeout(limit, body.collect()).await;
-        let body = body.map_err(|_| EndpointError::Timeout)?;
-        let body =
-            body.map_err(|error| EndpointError::Broken { reason: error.to_string().into() })?;
+        let body = tokio::time::timeout(limit, read_endpoint_body(body)).await;
+        let body = body.map_err(|_| EndpointError::Timeout)??;
         self.parts.connections.put_idle(connection, &head.headers);
-        Ok((head, body.to_bytes()))
+        Ok((head, body))
     }
 
     /// Reads the body of an endpoint's response and builds the response to the caller.
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -16,6 +16,7 @@
 use crate::catalog::{Endpoint, RowDecoder};
 use crate::clock::{Clock, Instant};
 use crate::forward::connection::Connection;
+use crate::forward::endpoint_body::read_endpoint_body;
 use crate::forward::release_guard::ReleaseGuard;
 use crate::forward::request_context::{LoadGuard, RequestContext};
 use crate::forward::stream_relay::relay;
@@ -305,14 +306,12 @@
             let sent = self.parts.connections.send(endpoint.address, request).await?;
             let (connection, response) = sent;
             let (head, body) = response.into_parts();
-            let body = body.collect().await;
-            let body =
-                body.map_err(|error| EndpointError::Broken { reason: error.to_string().into() })?;
+            let body = read_endpoint_body(body).await?;
             self.parts.connections.put_idle(connection, &head.headers);
             if head.status != StatusCode::OK {
                 return Ok(None);
             }
-            Ok(self.parts.codec.read_memory_reservation(&body.to_bytes()))
+            Ok(self.parts.codec.read_memory_reservation(&body))
         };
         let limit = Duration::from_millis(RESERVATION_TIMEOUT_MS);
         tokio::time::timeout(limit, exchange).await.map_err(|_| EndpointError::Timeout)?
@@ -542,6 +541,7 @@
                 }
                 Some(Ok(frame)) => match frame.data_ref().and_then(|data| splitter.push(data)) {
                     Some(events) => (events, false),
+                    None if splitter.is_overlong() => return Err(EndpointError::Mismatched),
                     None => continue,
                 },
             };
--- a/src/forward/release_guard.rs
+++ b/src/forward/release_guard.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 
 use crate::clock::Clock;
 use crate::forward::ConnectionPool;
+use crate::forward::endpoint_body::read_endpoint_body;
 
 /// Timeout of a release request. A resource that is not released expires at the engine.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -44,7 +45,7 @@
             let release = async {
                 let (connection, response) = connections.send(address, request).await.ok()?;
                 let (head, body) = response.into_parts();
-                body.collect().await.ok()?;
+                read_endpoint_body(body).await.ok()?;
                 connections.put_idle(connection, &head.headers);
                 Some(())
             };
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -152,7 +152,12 @@
             }
             Ok(Some(Ok(frame))) => {
                 let complete_events = frame.data_ref().and_then(|data| stream.splitter.push(data));
-                let Some(complete_events) = complete_events else { continue };
+                let Some(complete_events) = complete_events else {
+                    if stream.splitter.is_overlong() {
+                        return RelayEnd::Failed(EndpointError::Mismatched);
+                    }
+                    continue;
+                };
                 stream.load.grow_to(memory_used(context, &stream.splitter));
                 if events.send(Ok(complete_events)).await.is_err() {
                     return RelayEnd::CallerGone;
--- a/src/node/role_orders.rs
+++ b/src/node/role_orders.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use metrics::counter;
 
 use crate::catalog::{Endpoint, EngineProperties};
 use crate::clock::{Clock, Instant};
-use crate::forward::{Codec, EndpointError};
+use crate::forward::{Codec, EndpointError, read_endpoint_body};
 use crate::node::{NodeState, PlatformAdapter};
 use crate::roles::{
     OrderLease, OrderResponse, PoolSample, PoolUsage, RoleChange, RoleOrder, plan_role_changes,
@@ -186,11 +186,9 @@
     let round_trip = async {
         let (connection, response) = node.connections.send(endpoint.address, request).await?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await;
-        let body =
-            body.map_err(|error| EndpointError::Broken { reason: error.to_string().into() })?;
+        let body = read_endpoint_body(body).await?;
         node.connections.put_idle(connection, &head.headers);
-        Ok((head.status, body.to_bytes()))
+        Ok((head.status, body))
     };
     let limit = Duration::from_millis(CALL_TIMEOUT_MS);
     let result = tokio::time::timeout(limit, round_trip).await.map_err(|_| EndpointError::Timeout);
