Read the versions of all peers that answer at start

While the store was down the instance then started without a configuration. Each reply now has its own time-out.

a_silent_peer_does_not_keep_an_instance_from_starting failed before (version 0 instead of 1).

--- a/src/config/catch_up.rs
+++ b/src/config/catch_up.rs
@@ -115,9 +115,11 @@
     async fn query_peer_versions(&self) {
         let peers = self.random_peers(MAX_PEERS_AT_START);
         // No change is newer than this version, so the reply contains only the peer's version.
-        let reply = peers.iter().map(|peer| self.peers.changes_since(peer, Version(u64::MAX - 1)));
-        let replies = tokio::time::timeout(PEER_TIMEOUT, join_all(reply)).await;
-        for (_, version) in replies.into_iter().flatten().flatten() {
+        let replies = join_all(peers.iter().map(|peer| {
+            let reply = self.peers.changes_since(peer, Version(u64::MAX - 1));
+            tokio::time::timeout(PEER_TIMEOUT, reply)
+        }));
+        for (_, version) in replies.await.into_iter().flatten().flatten() {
             self.record_known_version(version);
         }
     }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -97,6 +97,20 @@
     });
 }
 
+/// Guards against an instance that starts without a configuration while the store is down, because
+/// one silent peer hides the versions that all others report.
+#[test]
+fn a_silent_peer_does_not_keep_an_instance_from_starting() {
+    run_paused(async {
+        let network = fleet(5).await;
+        network.silent.borrow_mut().insert("i2".into());
+        let store = network.stores()[0].for_other_instance();
+        store.faults.down.set(true);
+        let config = network.start("i9", store).await;
+        assert_eq!(config.current().version, Version(1));
+    });
+}
+
 /// Guards against reporting `StoreBehind` instead of a conflict when a concurrent edit is installed
 /// during the read of the head row.
 #[test]
--- a/tests/config/fakes.rs
+++ b/tests/config/fakes.rs
@@ -174,6 +174,8 @@
     instances: RefCell<BTreeMap<String, FakeInstance>>,
     /// Instances disconnected from all others.
     pub cut: RefCell<HashSet<String>>,
+    /// Instances that count as live but never answer.
+    pub silent: RefCell<HashSet<String>>,
     /// Whether pushed changes are lost.
     pub loses_pushes: Cell<bool>,
     incarnations: Cell<u64>,
@@ -254,7 +256,7 @@
 
     async fn reach(&self, name: &InstanceId) -> Option<Rc<Config>> {
         tokio::time::sleep(Duration::from_millis(1)).await;
-        if self.is_cut(name.as_str()) {
+        if self.is_cut(name.as_str()) || self.network.silent.borrow().contains(name.as_str()) {
             std::future::pending::<()>().await;
         }
         let instances = self.network.instances.borrow();
