--- a/src/node/node_handler.rs
+++ b/src/node/node_handler.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 
 use hyper::body::Incoming;
-use hyper::header::{ACCEPT_ENCODING, CONNECTION, CONTENT_ENCODING, HeaderValue};
+use hyper::header::{
+    ACCEPT_ENCODING, CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue,
+};
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 
@@ -48,6 +50,14 @@
     }
 }
 
+/// The content coding of replicas that a header names.
+pub(super) fn snapshot_encoding(headers: &HeaderMap, name: &HeaderName) -> SnapshotEncoding {
+    match headers.get(name) {
+        Some(coding) if coding == DEFLATE => SnapshotEncoding::Deflate,
+        _ => SnapshotEncoding::Plain,
+    }
+}
+
 /// Serves snapshots of this instance's replicas to peers.
 pub(super) struct PeerHandler<A: PlatformAdapter, C: Clock>(pub Rc<NodeState<A, C>>);
 
@@ -56,11 +66,7 @@
         let topic = request.uri().path().strip_prefix(REPLICA_PATH_PREFIX);
         let topic = topic.and_then(|name| Topic::ALL.into_iter().find(|t| t.to_string() == name));
         let Some(topic) = topic else { return empty_response(StatusCode::NOT_FOUND) };
-        let accepted = request.headers().get(ACCEPT_ENCODING);
-        let encoding = match accepted.is_some_and(|accepted| accepted == DEFLATE) {
-            true => SnapshotEncoding::Deflate,
-            false => SnapshotEncoding::Plain,
-        };
+        let encoding = snapshot_encoding(request.headers(), &ACCEPT_ENCODING);
         match self.0.follower(topic).encoded_snapshot(encoding) {
             Ok(bytes) => {
                 let mut response = Response::new(ResponseBody::full(bytes));
--- a/src/node/peer_replicas.rs
+++ b/src/node/peer_replicas.rs
@@ -9,7 +9,7 @@
 use smol_str::{ToSmolStr, format_smolstr};
 
 use crate::http::HttpClient;
-use crate::node::node_handler::{DEFLATE, REPLICA_PATH_PREFIX};
+use crate::node::node_handler::{DEFLATE, REPLICA_PATH_PREFIX, snapshot_encoding};
 use crate::replica::{PeerSource, PeerTransfer, SnapshotEncoding, SourceError, Topic};
 
 /// Time until the head of a response.
@@ -45,11 +45,7 @@
             let reason = format_smolstr!("status {}", response.status());
             return Err(SourceError::Unavailable { reason });
         }
-        let coding = response.headers().get(CONTENT_ENCODING);
-        let encoding = match coding.is_some_and(|coding| coding == DEFLATE) {
-            true => SnapshotEncoding::Deflate,
-            false => SnapshotEncoding::Plain,
-        };
+        let encoding = snapshot_encoding(response.headers(), &CONTENT_ENCODING);
         Ok(HttpTransfer { body: response.into_body(), encoding })
     }
 }
--- a/src/replica/peer_pull.rs
+++ b/src/replica/peer_pull.rs
@@ -20,7 +20,7 @@
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for a whole transfer.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time for which a peer is not pulled from after a failure, as long as another one is ahead.
+/// Time for which other peers are preferred to one whose pull failed.
 const FAILED_PEER_MS: u64 = 2_000;
 
 /// Pulls snapshots of one topic from peers whose replicas are newer, for example while this
@@ -51,13 +51,13 @@
         let mut was_behind = false;
         loop {
             tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-            let Some(peer) = self.select_peer() else {
+            let Some(peer) = self.select_peer().or_else(|| self.select_failed_peer()) else {
                 was_behind = false;
                 continue;
             };
             // Pulls only if the replica was already behind at the previous check.
             if std::mem::replace(&mut was_behind, true) {
-                self.pull_until_done().await;
+                self.pull(peer).await;
             } else {
                 log::info!(target: "fleet", topic = self.topic.to_string().as_str(),
                     peer = peer.to_string().as_str(),
@@ -67,9 +67,10 @@
         }
     }
 
-    /// Pulls from one peer after the other until a pull succeeds or none is left.
-    async fn pull_until_done(&self) {
-        while let Some(peer) = self.select_peer() {
+    /// Pulls from `first`, then from one peer after the other until a pull succeeds or all failed.
+    async fn pull(&self, first: Ipv4Addr) {
+        let mut next = Some(first);
+        while let Some(peer) = next {
             let fetched = within(TRANSFER_TIMEOUT, self.fetch(peer)).await;
             let result = if fetched.is_ok() { "ok" } else { "failed" };
             counter!("almondroad_node_peer_pulls_total", "topic" => self.topic.to_string(),
@@ -84,11 +85,19 @@
                     self.failures.borrow_mut().insert(peer, self.clock.now());
                 }
             }
+            next = self.select_peer();
         }
     }
 
-    /// A random live peer with a newer replica. Peers whose last pull failed are left out for a
-    /// while. A peer whose status is overdue may have stopped and is chosen only if there is no
+    /// A live peer with a newer replica whose last pull failed, if there is no other.
+    fn select_failed_peer(&self) -> Option<Ipv4Addr> {
+        let own_version = self.follower.content_version();
+        let members = self.members.borrow();
+        let ahead: Vec<_> = members.peers_ahead_of(self.topic.index(), own_version).collect();
+        ahead.choose(&mut rand::rng()).map(|(address, _)| **address)
+    }
+
+    /// A random live peer with a newer replica whose last pull has not failed lately. A peer whose status is overdue may have stopped and is chosen only if there is no
     /// other.
     fn select_peer(&self) -> Option<Ipv4Addr> {
         let now = self.clock.now();
--- a/tests/node/peer_pull.rs
+++ b/tests/node/peer_pull.rs
@@ -194,6 +194,35 @@
         .await;
 }
 
+/// Guards against an instance that does not try the only peer with the newer version again soon
+/// after a pull from it has failed.
+#[tokio::test(start_paused = true)]
+async fn the_only_peer_that_is_ahead_is_tried_again() {
+    let test = async {
+        let clock = TokioClock::new();
+        let start = clock.now();
+        let network = Network::new(vec![None; usize::from(FLEET) + 1]);
+        let instance = Instance::start(1, &network, clock);
+        let returns_at = start.plus_ms(1_100);
+        for sequence in 1.. {
+            if instance.follower.version() >= 12 {
+                break;
+            }
+            if clock.now() >= returns_at {
+                let encoded = snapshot(12, 1).encode(SnapshotEncoding::Deflate).unwrap();
+                network.replicas.borrow_mut()[2] = Some(encoded);
+            }
+            let mut status = status(1, sequence);
+            status.versions = [12, 1];
+            instance.members.borrow_mut().receive(address(2), &status, clock.now());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        clock.now().ms_since(start)
+    };
+    let time_ms = LocalSet::new().run_until(test).await;
+    assert!(time_ms <= IN_FORCE_MS - STATUS_INTERVAL_MS, "{time_ms} ms");
+}
+
 /// Returns the time from a change with `routes` routes until the whole fleet has it.
 async fn spread_time_ms(routes: u32, seed: u64) -> u64 {
     let clock = TokioClock::new();
