Bound the size of a replica read from a peer again

Found in the read-through: reading replicas in parts lost the limit of 64 MiB that the client had for whole bodies; only the 5 s for a transfer were left. The limit is back, checked for each part. It has no test of its own.

--- a/src/replica/peer_pull.rs
+++ b/src/replica/peer_pull.rs
@@ -20,6 +20,8 @@
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for a whole transfer.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest encoded replica that is read from a peer.
+const MAX_ENCODED_BYTES: usize = 64 << 20;
 /// Time for which other peers are preferred to one whose pull failed.
 const FAILED_PEER_MS: u64 = 2_000;
 
@@ -97,8 +99,8 @@
         ahead.choose(&mut rand::rng()).map(|(address, _)| **address)
     }
 
-    /// A random live peer with a newer replica whose last pull has not failed lately. A peer whose status is overdue may have stopped and is chosen only if there is no
-    /// other.
+    /// A random live peer with a newer replica whose last pull has not failed lately. A peer whose
+    /// status is overdue may have stopped and is chosen only if there is no other.
     fn select_peer(&self) -> Option<Ipv4Addr> {
         let now = self.clock.now();
         let mut failures = self.failures.borrow_mut();
@@ -123,6 +125,9 @@
         while let Some(part) =
             within(PROGRESS_TIMEOUT, async { transfer.next_part().await.transpose() }).await?
         {
+            if encoded.len() + part.len() > MAX_ENCODED_BYTES {
+                return Err(SourceError::Unavailable { reason: "replica too large".into() });
+            }
             encoded.extend_from_slice(&part);
         }
         Snapshot::decode(&encoded, transfer.encoding())
