--- a/src/forward/caller_request.rs
+++ b/src/forward/caller_request.rs
@@ -3,6 +3,8 @@
 use hyper::{HeaderMap, Method};
 use smol_str::SmolStr;
 
+use crate::units::PromptPartId;
+
 /// A caller's request with the fields that determine how it is routed.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -29,7 +31,7 @@
     }
 }
 
-/// Token counts that the caller gives for a generation.
+/// What the caller tells of a generation: token counts and the parts of its prompt.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Display)]
 #[display("{prompt_tokens}+{}/{max_output_tokens}", expected_output_tokens.unwrap_or(0))]
 pub struct Generation {
@@ -40,4 +42,6 @@
     pub expected_output_tokens: Option<u64>,
     /// Id of the last event that the caller received; the stream resumes after it.
     pub last_event: Option<u64>,
+    /// Parts of the prompt that other requests may have too, in order.
+    pub shared_parts: Vec<PromptPartId>,
 }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -345,6 +345,9 @@
         if matches!(error, EndpointError::Broken { .. }) {
             let fingerprint = CrashCounts::fingerprint(&context.request);
             self.parts.crashes.borrow_mut().record_crash(fingerprint, now);
+            if let Some(generation) = &context.request.generation {
+                context.log.record_broken(generation);
+            }
         }
         context.excluded.push(failed_endpoint.id.clone());
     }
--- a/src/forward/request_log.rs
+++ b/src/forward/request_log.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::clock::{Clock, Instant};
-use crate::forward::RequestLabels;
+use crate::forward::{Generation, RequestLabels};
 
 /// Log line and metrics of a request, written on drop, so that requests whose caller disconnects
 /// are included.
@@ -19,6 +19,8 @@
     /// Token counts of a generation: prompt, estimated output and maximum output.
     pub size: SmolStr,
     pub started_at: Instant,
+    /// Shared parts of the prompt, separated by commas, if a connection broke under the request.
+    pub broken_parts: String,
     /// Attempts in order, as `stage:endpoint:result@ms` separated by spaces.
     pub sends: String,
     first_response_ms: Option<u64>,
@@ -37,6 +39,7 @@
             configuration_version: 0,
             size: SmolStr::default(),
             started_at,
+            broken_parts: String::new(),
             sends: String::new(),
             first_response_ms: None,
             outcome: None,
@@ -51,6 +54,15 @@
         let _ = write!(self.sends, "{separator}{stage}:{endpoint}:{result}@{at_ms}");
     }
 
+    /// Records the prompt's shared parts after a connection broke under the request.
+    pub fn record_broken(&mut self, generation: &Generation) {
+        if self.broken_parts.is_empty() {
+            let parts = generation.shared_parts.iter().map(ToString::to_string);
+            let parts: Vec<String> = parts.collect();
+            self.broken_parts = parts.join(",");
+        }
+    }
+
     pub fn record_first_response(&mut self) {
         let now = self.clock.now();
         self.first_response_ms.get_or_insert(now.ms_since(self.started_at));
@@ -69,7 +81,8 @@
             request = self.request.as_str(), route = self.route.as_str(),
             organisation = self.organisation.as_str(),
             configuration = self.configuration_version, outcome = outcome,
-            size = self.size.as_str(), sends = self.sends.as_str(), first_ms = self.first_response_ms.unwrap_or(0),
+            size = self.size.as_str(), broken_parts = self.broken_parts.as_str(),
+            sends = self.sends.as_str(), first_ms = self.first_response_ms.unwrap_or(0),
             total_ms = total_ms; "request ended");
         let organisation = self.labels.organisations.label_for(&self.organisation).to_string();
         counter!("almondroad_node_requests_total", "outcome" => outcome,
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -112,6 +112,9 @@
     if let Some(state) = forwarder.parts.balancer.borrow_mut().endpoint_mut(endpoint) {
         state.health.record_failure(forwarder.parts.clock.now());
     }
+    if let (EndpointError::Broken { .. }, Some(generation)) = (error, &context.request.generation) {
+        context.log.record_broken(generation);
+    }
     context.runs += 1;
     context.excluded.push(endpoint.clone());
 }
