Refuse requests with a part of the prompt under which endpoints have ended

Callers saw: requests of one kind ended engine after engine, and the streams of everyone else there broke with them.

Cause: a crashing request was known by key, target and body. Requests that have only a part of their prompts in common are all new, so each ended as many engines as it had attempts. Nothing read the parts.

Change: when a connection breaks before an answer has begun, the instance checks whether the endpoint has ended (its port refuses connections; one that only resets a connection still listens). The end is recorded under all shared parts of the prompt, by the endpoint's process, and merged by all instances as a set, so that ends which each instance has seen once are added up. The beginning of an answer excuses its parts. After ends at three moments a request is refused at once with 503 and Retry-After; parts that were always sent together are refused only together, and a part that explains fewer ends than another one is not refused. Ends within 100 ms of each other have one cause and count once.

--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::balance::PeerLoad;
+use crate::crashes::PartReport;
 use crate::fleet::Notices;
 use crate::quota::TokenUsage;
 
@@ -41,18 +42,29 @@
     /// Appended to the rest, so that instances of earlier versions can still decode it.
     #[serde(skip)]
     pub notices: Notices,
+    /// Parts of prompts under which endpoints have ended. Appended after the notices.
+    #[serde(skip)]
+    pub crashing_parts: Vec<PartReport>,
 }
 
 impl Status {
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_extend(&self.notices, postcard::to_stdvec(self)?)
+        let bytes = postcard::to_extend(&self.notices, postcard::to_stdvec(self)?)?;
+        if self.crashing_parts.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.crashing_parts, bytes)
     }
 
-    /// Decodes a status. That of an instance of an earlier version has no notices.
+    /// Decodes a status. That of an instance of an earlier version lacks what is appended.
     pub fn decode(bytes: &[u8]) -> Result<Status, postcard::Error> {
         let (mut status, rest) = postcard::take_from_bytes::<Status>(bytes)?;
         if !rest.is_empty() {
-            status.notices = postcard::from_bytes(rest)?;
+            let (notices, rest) = postcard::take_from_bytes(rest)?;
+            status.notices = notices;
+            if !rest.is_empty() {
+                status.crashing_parts = postcard::from_bytes(rest)?;
+            }
         }
         Ok(status)
     }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -25,6 +25,16 @@
 /// Number of unanswered keepalive probes after which a connection without outgoing data is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Returns whether nothing listens at an address any more. A machine that does not respond may still
+/// run its processes.
+pub(super) async fn is_refused(address: SocketAddr) -> bool {
+    let connect = TcpStream::connect(address);
+    match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// An HTTP/1.1 connection to an endpoint that carries one request at a time. Dropping it closes the
 /// connection immediately, which makes the endpoint abort the request.
 pub struct Connection {
--- a/src/forward/crash_counts.rs
+++ b/src/forward/crash_counts.rs
@@ -41,7 +41,13 @@
     }
 
     pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.counts.get(&fingerprint).is_some_and(|(count, _)| *count >= MAX_CRASHES)
+        self.refused_until(fingerprint).is_some()
+    }
+
+    /// Returns until when a request is refused.
+    pub fn refused_until(&self, fingerprint: Fingerprint) -> Option<Instant> {
+        let (count, crashed_at) = self.counts.get(&fingerprint)?;
+        (*count >= MAX_CRASHES).then(|| crashed_at.plus_ms(CRASH_TTL_MS))
     }
 
     pub fn record_crash(&mut self, fingerprint: Fingerprint, now: Instant) {
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -18,7 +18,9 @@
 };
 use crate::catalog::{Catalog, Customer, Endpoint, RouteKind, RowDecoder, ServiceConfiguration};
 use crate::clock::{Clock, Instant};
+use crate::crashes::{CrashingParts, PartKey};
 use crate::forward::connection::Connection;
+use crate::forward::end_detector::EndDetector;
 use crate::forward::endpoint_body::read_endpoint_body;
 use crate::forward::request_context::{QuotaCharge, RequestContext};
 use crate::forward::request_log::RequestLog;
@@ -45,6 +47,7 @@
     pub balancer: Rc<RefCell<Balancer>>,
     pub quotas: Rc<RefCell<Quotas>>,
     pub crashes: Rc<RefCell<CrashCounts>>,
+    pub crashing_parts: Rc<RefCell<CrashingParts>>,
     pub retry_limits: RetryLimits,
     /// Time from which on this instance uses its part of the retries that do not depend on the
     /// number of requests.
@@ -59,11 +62,14 @@
     /// Queues of generations that wait for an engine, by service.
     wait_queues: RefCell<HashMap<ServiceId, WaitQueue>>,
     labels: Rc<RequestLabels>,
+    end_detector: EndDetector<C>,
 }
 
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     pub fn new(parts: ForwarderParts<K, D, C>) -> Rc<Forwarder<K, D, C>> {
+        let crashing_parts = Rc::clone(&parts.crashing_parts);
         Rc::new(Forwarder {
+            end_detector: EndDetector::new(crashing_parts, parts.clock.clone()),
             parts,
             retry_windows: RefCell::default(),
             wait_queues: RefCell::default(),
@@ -109,7 +115,6 @@
         body: Incoming,
         log: &mut RequestLog<C>,
     ) -> Result<Admitted<C>, Refusal> {
-        let parts = &self.parts;
         let route = configuration.find_route(&request.host, request.path());
         let route = Rc::clone(route.ok_or(Refusal::NoRoute)?);
         log.route = route.id.as_str().into();
@@ -122,11 +127,7 @@
         let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
         let limits = configuration.limits();
         request.body = read_body(body, limits.body_limit_bytes, limits.receive_timeout_ms).await?;
-        let crashes = parts.crashes.borrow();
-        if !crashes.is_empty() && crashes.is_refused(CrashCounts::fingerprint(request)) {
-            return Err(Refusal::CrashesEndpoints);
-        }
-        drop(crashes);
+        self.refuse_crashing(&service.id, request)?;
         let charge = self.charge(customer.as_deref(), request)?;
         Ok(Admitted { route, service, customer, charge })
     }
@@ -189,6 +190,38 @@
         Ok(QuotaCharge { clock, quotas, organisation, tokens, has_run: false })
     }
 
+    /// Refuses a request if endpoints have ended under it, or under parts that its prompt has.
+    pub(super) fn refuse_crashing(
+        &self,
+        service: &ServiceId,
+        request: &CallerRequest,
+    ) -> Result<(), Refusal> {
+        let now = self.parts.clock.now();
+        let crashes = self.parts.crashes.borrow();
+        let request_until = match crashes.is_empty() {
+            true => None,
+            false => crashes.refused_until(CrashCounts::fingerprint(request)),
+        };
+        let crashing_parts = self.parts.crashing_parts.borrow();
+        let parts_until = match crashing_parts.is_empty() {
+            true => None,
+            false => crashing_parts.refused_until(part_keys(service, request), now),
+        };
+        match request_until.max(parts_until) {
+            Some(until) => Err(Refusal::CrashesEndpoints { retry_after_ms: until.ms_since(now) }),
+            None => Ok(()),
+        }
+    }
+
+    /// Records that an endpoint has begun the answer to a request.
+    pub(super) fn record_begun(&self, context: &RequestContext<C>) {
+        let mut crashing_parts = self.parts.crashing_parts.borrow_mut();
+        if !crashing_parts.is_empty() {
+            let parts = part_keys(&context.service.id, &context.request);
+            crashing_parts.record_begun(parts, self.parts.clock.now());
+        }
+    }
+
     fn with_retry_window<T>(
         &self,
         service: &ServiceId,
@@ -345,6 +378,8 @@
         if matches!(error, EndpointError::Broken { .. }) {
             let fingerprint = CrashCounts::fingerprint(&context.request);
             self.parts.crashes.borrow_mut().record_crash(fingerprint, now);
+            let parts = part_keys(&context.service.id, &context.request);
+            self.end_detector.check(failed_endpoint, parts);
             if let Some(generation) = &context.request.generation {
                 context.log.record_broken(generation);
             }
@@ -367,6 +402,15 @@
     charge: QuotaCharge<C>,
 }
 
+/// Returns the parts of a request's prompt that other requests of the service may have too.
+fn part_keys(
+    service: &ServiceId,
+    request: &CallerRequest,
+) -> impl Iterator<Item = PartKey> + Clone {
+    let parts = request.generation.iter().flat_map(|generation| &generation.shared_parts);
+    PartKey::all(service, parts)
+}
+
 /// Returns the customer of the request's key. Fails for an unknown key unless the route is public
 /// or the configuration has no keys.
 fn find_customer(
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -141,6 +141,7 @@
             }
             prefill = prefill.filter(|prefill| now < prefill.usable_until);
             let plan = self.place(context, prefill.as_ref()).await?;
+            self.refuse_if_crashing(context)?;
             if let Some(placement) = &plan.prefill {
                 // An engine may have left while the memory was reserved or the prompt was read.
                 if !self.may_receive(&placement.endpoint) {
@@ -151,6 +152,7 @@
                     continue;
                 }
             }
+            self.refuse_if_crashing(context)?;
             let endpoint = Rc::clone(&plan.decode.endpoint);
             if !self.may_receive(&endpoint) {
                 continue;
@@ -187,6 +189,12 @@
         }
     }
 
+    /// Refuses a request if it has become known since its arrival that endpoints end under it.
+    fn refuse_if_crashing(&self, context: &RequestContext<C>) -> Result<(), Refusal> {
+        let checked = self.refuse_crashing(&context.service.id, &context.request);
+        checked.map_err(|refusal| if context.runs > 0 { Refusal::ResponseLost } else { refusal })
+    }
+
     fn may_receive(&self, endpoint: &Endpoint) -> bool {
         self.parts.balancer.borrow().may_receive(endpoint, self.parts.clock.now())
     }
@@ -422,6 +430,11 @@
         let result = self.exchange_decode(context, plan, stage, progress, until).await;
         let code = result.as_ref().map_or_else(|error| error.code(), |_| "started");
         context.log.record_send(name, endpoint.id.as_str(), code);
+        if let Ok(Opened::Stream(stream)) = &result
+            && stream.splitter.events() > 0
+        {
+            self.record_begun(context);
+        }
         if result.is_ok() {
             context.charge.has_run = true;
             let mut balancer = self.parts.balancer.borrow_mut();
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod connection_pool;
 mod crash_counts;
+mod end_detector;
 mod endpoint_body;
 mod endpoint_client;
 mod endpoint_error;
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -23,7 +23,7 @@
     #[display("no endpoint can take the request now")]
     NoCapacity { retry_after_ms: u64 },
     #[display("requests like this one have crashed several endpoints")]
-    CrashesEndpoints,
+    CrashesEndpoints { retry_after_ms: u64 },
     #[display("the time for the request has passed; it has not run")]
     ExpiredBeforeRun,
     /// The request may or may not have run.
@@ -45,7 +45,7 @@
             Refusal::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::NoConfiguration
             | Refusal::NoCapacity { .. }
-            | Refusal::CrashesEndpoints
+            | Refusal::CrashesEndpoints { .. }
             | Refusal::ExpiredBeforeRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::ResponseLost | Refusal::Stopped => StatusCode::BAD_GATEWAY,
             Refusal::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -62,7 +62,7 @@
             Refusal::NoConfiguration => "no_configuration",
             Refusal::OverQuota { .. } => "over_quota",
             Refusal::NoCapacity { .. } => "no_capacity",
-            Refusal::CrashesEndpoints => "crashes_endpoints",
+            Refusal::CrashesEndpoints { .. } => "crashes_endpoints",
             Refusal::ExpiredBeforeRun => "expired_before_run",
             Refusal::ResponseLost => "answer_lost",
             Refusal::Timeout => "timeout",
@@ -72,9 +72,9 @@
 
     fn retry_after_ms(&self) -> Option<u64> {
         match self {
-            Refusal::OverQuota { retry_after_ms } | Refusal::NoCapacity { retry_after_ms } => {
-                Some(*retry_after_ms)
-            }
+            Refusal::OverQuota { retry_after_ms }
+            | Refusal::NoCapacity { retry_after_ms }
+            | Refusal::CrashesEndpoints { retry_after_ms } => Some(*retry_after_ms),
             _ => None,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod cmd;
 pub mod config;
+pub mod crashes;
 pub mod engine;
 pub mod error;
 pub mod fleet;
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -8,6 +8,7 @@
 use crate::balance::{Balancer, PeerLoad};
 use crate::catalog::Catalog;
 use crate::clock::{Clock, Instant};
+use crate::crashes::CrashingParts;
 use crate::fleet::{Members, Notices, PeerUpdate, Status, StatusHandler, ZoneLoads};
 use crate::forward::{
     ConnectionPool, CrashCounts, EndpointClient, EndpointClientParts, Forwarder, ForwarderParts,
@@ -28,6 +29,7 @@
     pub balancer: Rc<RefCell<Balancer>>,
     pub quotas: Rc<RefCell<Quotas>>,
     pub crashes: Rc<RefCell<CrashCounts>>,
+    pub crashing_parts: Rc<RefCell<CrashingParts>>,
     pub endpoints: Rc<EndpointClient<A::Codec, C>>,
     pub members: Rc<RefCell<Members>>,
     pub forwarder: Rc<Forwarder<A::Codec, A::Decoder, C>>,
@@ -55,6 +57,7 @@
         let quotas = Quotas::new(rate_window_ms, !settings.is_first_start);
         let quotas = Rc::new(RefCell::new(quotas));
         let crashes = Rc::new(RefCell::new(CrashCounts::default()));
+        let crashing_parts = Rc::new(RefCell::new(CrashingParts::default()));
         let endpoints = Rc::new(EndpointClient::new(EndpointClientParts {
             codec: adapter.codec(),
             balancer: Rc::clone(&balancer),
@@ -73,6 +76,7 @@
             balancer: Rc::clone(&balancer),
             quotas: Rc::clone(&quotas),
             crashes: Rc::clone(&crashes),
+            crashing_parts: Rc::clone(&crashing_parts),
             endpoints: Rc::clone(&endpoints),
             retry_limits,
             extra_retries_from,
@@ -91,6 +95,7 @@
             balancer,
             quotas,
             crashes,
+            crashing_parts,
             endpoints,
             members,
             forwarder,
@@ -169,6 +174,7 @@
             crashes: self.crashes.borrow().recent_counts(),
             known: Vec::new(),
             notices: self.notices(now),
+            crashing_parts: self.crashing_parts.borrow().reports(now),
         }
     }
 
@@ -200,6 +206,7 @@
             now,
         );
         self.crashes.borrow_mut().merge(&status.crashes, now);
+        self.crashing_parts.borrow_mut().merge(&status.crashing_parts, now);
     }
 
     fn zone(&self) -> SmolStr {
@@ -232,10 +239,11 @@
         let counts = self.crashes.borrow().recent_counts();
         let crashes: u64 = counts.iter().map(|count| u64::from(count.crashes)).sum();
         stable_hash(&format!(
-            "{versions:?} {} {} {crashes} {}",
+            "{versions:?} {} {} {crashes} {} {}",
             self.is_ready(),
             self.is_leaving.get(),
-            self.balancer.borrow().leaving_count()
+            self.balancer.borrow().leaving_count(),
+            self.crashing_parts.borrow().revision()
         ))
     }
 
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -6,6 +6,7 @@
     mod catalog;
     mod cold_turns;
     mod crashes;
+    mod crashing_parts;
     mod endpoint_notices;
     mod event_splitter;
     mod failure_pattern;
