Count a crash of a request only if the endpoint has ended

Callers saw: a sound request that was repeated while endpoints reset connections was refused for two minutes as one that crashes endpoints.

Cause: every connection that broke counted as a crash of the request. The check that was added for parts of prompts tells the two apart.

Change: a crash is counted under the request and its parts by the same check.

Evidence: only_a_request_that_ends_endpoints_is_refused fails on the commit before (a request is refused with 503 after three resets).

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -13,8 +13,8 @@
 use smol_str::ToSmolStr;
 
 use crate::balance::{
-    Balancer, IncarnationKey, PlacementError, RetryLimits, RetryWindow, SendCount, SendKind,
-    SendOutcome, StartedSend, WaitQueue,
+    Balancer, PlacementError, RetryLimits, RetryWindow, SendCount, SendKind, SendOutcome,
+    StartedSend, WaitQueue,
 };
 use crate::catalog::{Catalog, Customer, Endpoint, RouteKind, RowDecoder, ServiceConfiguration};
 use crate::clock::{Clock, Instant};
@@ -67,9 +67,10 @@
 
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     pub fn new(parts: ForwarderParts<K, D, C>) -> Rc<Forwarder<K, D, C>> {
-        let crashing_parts = Rc::clone(&parts.crashing_parts);
+        let (crashes, crashing_parts) =
+            (Rc::clone(&parts.crashes), Rc::clone(&parts.crashing_parts));
         Rc::new(Forwarder {
-            end_detector: EndDetector::new(crashing_parts, parts.clock.clone()),
+            end_detector: EndDetector::new(crashes, crashing_parts, parts.clock.clone()),
             parts,
             retry_windows: RefCell::default(),
             wait_queues: RefCell::default(),
@@ -377,10 +378,8 @@
         }
         if matches!(error, EndpointError::Broken { .. }) {
             let fingerprint = CrashCounts::fingerprint(&context.request);
-            let process = IncarnationKey::new(failed_endpoint);
-            self.parts.crashes.borrow_mut().record_crash(fingerprint, process, now);
             let parts = part_keys(&context.service.id, &context.request);
-            self.end_detector.check(failed_endpoint, parts);
+            self.end_detector.check(failed_endpoint, fingerprint, parts);
             if let Some(generation) = &context.request.generation {
                 context.log.record_broken(generation);
             }
