Take a stream that ends before its first event for broken off

Callers saw: a 200 with an empty body that looked complete, when an engine ended after the head of a stream that has neither a length nor chunks. The end of the connection is the end of such a stream.

Change: a stream without any event counts as broken off, unless the caller resumes one that it may have received whole.

Evidence: a_stream_that_ends_before_its_first_event_is_broken_off fails at (200). Heads that break off were refused before: a_head_that_breaks_off_is_no_answer passes there too, as does answers_may_end_with_their_connection.

--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -494,6 +494,11 @@
                 None if splitter.is_at_continuation() => {
                     return Err(EndpointError::Broken { reason: "continued by no event".into() });
                 }
+                None if splitter.last_event().is_none() => {
+                    let reason = "ended before the first event".into();
+                    return Err(EndpointError::Broken { reason });
+                }
+                // The caller resumes a stream whose events it has all received.
                 None => (Bytes::new(), true),
                 Some(Err(error)) => {
                     return Err(EndpointError::Broken { reason: error.to_string().into() });
