Refuse requests that are complete only late in the grace time

Callers saw: a request whose body arrived after the time in which a stopping instance accepts requests was passed on, and cut off at the end of the grace time, although it may not be repeated.

Change: from the moment at which the listener closes, a request that has just arrived completely is refused with 503 leaving: it has not run, and another instance takes it.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -174,6 +174,7 @@
         "expired_before_run" => "its time passed before an endpoint ran it; it has not run",
         "answer_lost" => "an endpoint may have run it, and no other one could answer it",
         "timeout" => "its time passed while an endpoint may have run it",
+        "leaving" => "the instance was stopping when it had arrived completely; it has not run",
         "broken_off" => "the endpoint broke off, and the route's streams may not be resumed",
         "not_resumed" => "the endpoint broke off, and the next one did not continue the stream",
         "no_route" => "no route has its host and path",
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,6 +61,8 @@
     retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
     /// Queues of generations that wait for an engine, by service.
     wait_queues: RefCell<HashMap<ServiceId, WaitQueue>>,
+    /// Whether requests that arrive now could outlast the instance and are refused.
+    is_closed: Cell<bool>,
     labels: Rc<RequestLabels>,
     end_detector: EndDetector<C>,
 }
@@ -74,10 +76,16 @@
             parts,
             retry_windows: RefCell::default(),
             wait_queues: RefCell::default(),
+            is_closed: Cell::new(false),
             labels: Rc::default(),
         })
     }
 
+    /// Refuses all requests that have not arrived completely yet.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
     async fn serve(
         self: &Rc<Self>,
         request: Request<Incoming>,
@@ -128,6 +136,9 @@
         let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
         let limits = configuration.limits();
         request.body = read_body(body, limits.body_limit_bytes, limits.receive_timeout_ms).await?;
+        if self.is_closed.get() {
+            return Err(Refusal::Leaving);
+        }
         self.refuse_crashing(&service.id, request)?;
         let charge = self.charge(customer.as_deref(), request)?;
         Ok(Admitted { route, service, customer, charge })
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -31,6 +31,8 @@
     ResponseLost,
     #[display("no answer within the route's time; the request may have run")]
     Timeout,
+    #[display("the instance is stopping; the request has not run")]
+    Leaving,
     #[display("the instance had to stop before the answer; the request may have run")]
     Stopped,
 }
@@ -46,6 +48,7 @@
             Refusal::NoConfiguration
             | Refusal::NoCapacity { .. }
             | Refusal::CrashesEndpoints { .. }
+            | Refusal::Leaving
             | Refusal::ExpiredBeforeRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::ResponseLost | Refusal::Stopped => StatusCode::BAD_GATEWAY,
             Refusal::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -66,6 +69,7 @@
             Refusal::ExpiredBeforeRun => "expired_before_run",
             Refusal::ResponseLost => "answer_lost",
             Refusal::Timeout => "timeout",
+            Refusal::Leaving => "leaving",
             Refusal::Stopped => "stopped",
         }
     }
--- a/src/node/drain.rs
+++ b/src/node/drain.rs
@@ -48,6 +48,7 @@
             break;
         }
     }
+    node.forwarder.close();
     shutdown.send_replace(true);
     let unregister = node.store.unregister(node.settings.address);
     match tokio::time::timeout(Duration::from_millis(300), unregister).await {
