Forget crashes at the same time everywhere, and refuse for a limited time

Callers saw: a request that had once crashed three endpoints was refused until some other request crashed one, however long that took, with Retry-After 0. Instances that drop a record at different times would get it back from each other.

Cause: counts were only removed when a crash was recorded, and kept by the time at which this instance had changed them.

Change: a refusal ends 120 s after the last end; counts are dropped then and records of parts 600 s after it, by the age of the ends, which all instances know; reports that are older are not taken. Instances that send reports are not believed their numbers besides, which are for the version before.

--- a/src/crashes/crashing_parts.rs
+++ b/src/crashes/crashing_parts.rs
@@ -9,9 +9,8 @@
 /// Time for which requests are refused after the last end. One that comes later is sent, in case
 /// something else was the cause after all, and renews the refusal if an endpoint ends again.
 const REFUSED_MS: u64 = 120_000;
-/// Time after its last change at which a record is dropped, also if it is excused.
+/// Time after the last end at which a record is dropped.
 const RETENTION_MS: u64 = 600_000;
-const EXCUSED_RETENTION_MS: u64 = 120_000;
 /// Time after a change in which peers are told of a record that leads to no refusal.
 const REPORT_MS: u64 = 10_000;
 /// Maximum number of records in a report to peers.
@@ -82,6 +81,9 @@
     /// Adds what a peer knows.
     pub fn merge(&mut self, reports: &[PartReport], now: Instant) {
         for report in reports {
+            if report.ends.iter().all(|end| end.age_ms >= RETENTION_MS) {
+                continue;
+            }
             if self.record(report.key).merge(&report.ends, now) {
                 self.revision += 1;
             }
@@ -114,11 +116,7 @@
 
     /// Drops records that are too old to matter.
     pub fn expire(&mut self, now: Instant) {
-        self.records.retain(|_, record| {
-            let is_excused = record.unexcused().next().is_none();
-            let retention_ms = if is_excused { EXCUSED_RETENTION_MS } else { RETENTION_MS };
-            now.ms_since(record.changed_at) < retention_ms
-        });
+        self.records.retain(|_, record| !record.is_expired(RETENTION_MS, now));
     }
 
     /// The record of a part, which may replace that of another one.
--- a/src/crashes/end_record.rs
+++ b/src/crashes/end_record.rs
@@ -2,14 +2,14 @@
 use crate::clock::Instant;
 use crate::crashes::{EndReport, EndpointEnd};
 
-/// Maximum number of ends that are kept for a part.
+/// Maximum number of ends that are kept.
 const MAX_ENDS: usize = 12;
 /// Ends that are closer together have one cause, such as the loss of a rack, which says nothing of
 /// the requests that ran there.
 const MIN_SEPARATION_MS: u64 = 100;
 
-/// Ends of endpoints under one request or one part of a prompt. Merging records in any order gives the same ends,
-/// so that each instance adds up those that all of them have seen.
+/// Ends of endpoints under one request or one part of a prompt. Merging records in any order gives the
+/// same ends, so that each instance adds up those that all of them have seen.
 #[derive(Clone, Debug, Default)]
 pub struct EndRecord {
     /// In the order of the processes' keys.
@@ -53,6 +53,12 @@
         oldest != added.process
     }
 
+    /// Whether nothing has ended for `retention_ms`. Depends on the ends alone: instances that dropped a
+    /// record at different times would otherwise get it back from each other without end.
+    pub fn is_expired(&self, retention_ms: u64, now: Instant) -> bool {
+        self.ends.iter().all(|end| now.ms_since(end.ended_at) >= retention_ms)
+    }
+
     /// Adds what a peer knows. Returns whether anything changed.
     pub fn merge(&mut self, reports: &[EndReport], now: Instant) -> bool {
         let mut has_changed = false;
--- a/src/forward/crash_counts.rs
+++ b/src/forward/crash_counts.rs
@@ -9,15 +9,15 @@
 use crate::forward::CallerRequest;
 use crate::units::Fingerprint;
 
-/// Number of endpoints under which a connection broke after which a request is refused.
+/// Number of endpoints that have ended under a request from which on it is refused.
 const MAX_CRASHES: usize = 3;
-/// Time after the last crash at which the count of a request is removed.
+/// Time after the last end for which a request is refused, and after which its count is removed.
 const CRASH_TTL_MS: u64 = 120_000;
 /// Maximum number of counts in one status message to peers.
 const MAX_RECENT_COUNTS: usize = 32;
 
-/// Endpoints to which a connection broke while a request ran. A caller may retry the request at any
-/// instance under a new attempt id, so requests are identified by key, target and body.
+/// Endpoints that have ended while a request ran. A caller may retry the request at any instance under
+/// a new attempt id, so requests are identified by key, target and body.
 #[derive(Debug, Default)]
 pub struct CrashCounts {
     counts: HashMap<Fingerprint, Count>,
@@ -28,13 +28,18 @@
     record: EndRecord,
     /// Lower bound from a peer of an earlier version, which does not name the endpoints.
     at_least: u8,
-    changed_at: Instant,
+    /// Time at which the lower bound was last raised.
+    raised_at: Instant,
 }
 
 impl Count {
     fn crashes(&self) -> usize {
         self.record.unexcused().count().max(usize::from(self.at_least))
     }
+
+    fn last_crash_at(&self) -> Instant {
+        self.record.last_ended_at().unwrap_or_default().max(self.raised_at)
+    }
 }
 
 impl CrashCounts {
@@ -56,14 +61,11 @@
         self.counts.is_empty()
     }
 
-    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
-        self.refused_until(fingerprint).is_some()
-    }
-
     /// Returns until when a request is refused.
-    pub fn refused_until(&self, fingerprint: Fingerprint) -> Option<Instant> {
+    pub fn refused_until(&self, fingerprint: Fingerprint, now: Instant) -> Option<Instant> {
         let count = self.counts.get(&fingerprint)?;
-        (count.crashes() >= MAX_CRASHES).then(|| count.changed_at.plus_ms(CRASH_TTL_MS))
+        let until = count.last_crash_at().plus_ms(CRASH_TTL_MS);
+        (count.crashes() >= MAX_CRASHES && now < until).then_some(until)
     }
 
     pub fn record_crash(
@@ -72,29 +74,27 @@
         process: IncarnationKey,
         now: Instant,
     ) {
-        self.remove_expired(now);
         let count = self.counts.entry(fingerprint).or_default();
         count.record.add(EndpointEnd { process, ended_at: now, is_excused: false }, now);
-        count.changed_at = now;
     }
 
     /// Adds the endpoints that a peer has seen.
     pub fn merge(&mut self, reports: &[RequestReport], now: Instant) {
         for report in reports {
-            let count = self.counts.entry(report.fingerprint).or_default();
-            if count.record.merge(&report.ends, now) {
-                count.changed_at = now;
+            if report.ends.iter().all(|end| end.age_ms >= CRASH_TTL_MS) {
+                continue;
             }
+            self.counts.entry(report.fingerprint).or_default().record.merge(&report.ends, now);
         }
     }
 
-    /// Merges the counts of a peer of an earlier version.
+    /// Merges the counts of a peer that sends no reports, since its version is an earlier one.
     pub fn merge_counts(&mut self, recent_counts: &[CrashCount], now: Instant) {
         for crash in recent_counts {
             let count = self.counts.entry(Fingerprint(crash.fingerprint)).or_default();
             if usize::from(crash.crashes) > count.crashes() {
                 count.at_least = crash.crashes;
-                count.changed_at = now;
+                count.raised_at = now;
             }
         }
     }
@@ -121,12 +121,13 @@
     fn recent(&self) -> impl Iterator<Item = (&Fingerprint, &Count)> {
         let mut counts: Vec<_> = self.counts.iter().collect();
         counts.sort_by_key(|(fingerprint, count)| {
-            std::cmp::Reverse((count.changed_at, **fingerprint))
+            std::cmp::Reverse((count.last_crash_at(), **fingerprint))
         });
         counts.into_iter().take(MAX_RECENT_COUNTS)
     }
 
-    fn remove_expired(&mut self, now: Instant) {
-        self.counts.retain(|_, count| now.ms_since(count.changed_at) < CRASH_TTL_MS);
+    /// Drops counts that are too old to matter.
+    pub fn expire(&mut self, now: Instant) {
+        self.counts.retain(|_, count| now.ms_since(count.last_crash_at()) < CRASH_TTL_MS);
     }
 }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -210,14 +210,16 @@
     ) -> Result<(), Refusal> {
         let now = self.parts.clock.now();
         let crashes = self.parts.crashes.borrow();
-        let request_until = match crashes.is_empty() {
-            true => None,
-            false => crashes.refused_until(CrashCounts::fingerprint(request)),
+        let request_until = if crashes.is_empty() {
+            None
+        } else {
+            crashes.refused_until(CrashCounts::fingerprint(request), now)
         };
         let crashing_parts = self.parts.crashing_parts.borrow();
-        let parts_until = match crashing_parts.is_empty() {
-            true => None,
-            false => crashing_parts.refused_until(part_keys(service, request), now),
+        let parts_until = if crashing_parts.is_empty() {
+            None
+        } else {
+            crashing_parts.refused_until(part_keys(service, request), now)
         };
         match request_until.max(parts_until) {
             Some(until) => Err(Refusal::CrashesEndpoints { retry_after_ms: until.ms_since(now) }),
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -209,8 +209,11 @@
             now,
         );
         let mut crashes = self.crashes.borrow_mut();
-        crashes.merge_counts(&status.crashes, now);
-        crashes.merge(&status.crash_reports.requests, now);
+        if status.crash_reports.requests.is_empty() {
+            crashes.merge_counts(&status.crashes, now);
+        } else {
+            crashes.merge(&status.crash_reports.requests, now);
+        }
         self.crashing_parts.borrow_mut().merge(&status.crash_reports.parts, now);
     }
 
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -70,6 +70,7 @@
         share_limits(&node, now);
         node.endpoints.close_expired();
         node.balancer.borrow_mut().expire_zone_loads(now);
+        node.crashes.borrow_mut().expire(now);
         node.crashing_parts.borrow_mut().expire(now);
         node.update_collector(now);
         update_gauges(&node, now);
--- a/tests/node/crashing_parts.rs
+++ b/tests/node/crashing_parts.rs
@@ -154,6 +154,36 @@
     assert!(known.is_empty());
 }
 
+/// Guards against records that instances which drop them at different times get back from each other
+/// without end.
+#[test]
+fn a_record_is_dropped_by_all_instances() {
+    let (mut known, mut peer) = (CrashingParts::default(), CrashingParts::default());
+    end_endpoints(&mut known, &[7], 3);
+    peer.merge(&known.reports(at(1_000)), at(1_000));
+    for seconds in 600..=610 {
+        let now = at(seconds * 1_000);
+        known.expire(now);
+        known.merge(&peer.reports(now), now);
+        peer.merge(&known.reports(now), now);
+        peer.expire(now);
+    }
+    assert!(known.is_empty() && peer.is_empty());
+}
+
+/// Guards against an excuse that is lost because it comes long after the ends.
+#[test]
+fn a_late_excuse_holds_although_peers_report_the_ends() {
+    let (mut known, mut peer) = (CrashingParts::default(), CrashingParts::default());
+    end_endpoints(&mut known, &[7], 3);
+    peer.merge(&known.reports(at(1_000)), at(1_000));
+    known.record_begun(keys(&[7]).into_iter(), at(130_000));
+    known.expire(at(130_000));
+    known.merge(&peer.reports(at(130_100)), at(130_100));
+    known.record_end(&keys(&[7]), process(9), at(131_000));
+    assert!(!is_refused(&known, &[7], at(131_000)));
+}
+
 /// Guards against reports that grow without bound, or leave out what leads to refusals, after
 /// endpoints have ended under many requests.
 #[test]
