--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and checks of the cases of this review. Started by the `run.sh` of a case.
 
 mod common;
+mod planned_stop;
 mod resumed_stream;
 
 fn main() {
@@ -10,6 +11,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let has_held = match case.as_str() {
+        "planned-stop" => planned_stop::run(record, has_trouble),
         "resumed-stream" => resumed_stream::run(record, has_trouble),
         other => common::cannot_run(&format!("no such case: {other}")),
     };
