--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -5,7 +5,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -18,7 +18,8 @@
 
 impl Record {
     pub fn create(path: &str) -> Arc<Record> {
-        let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
+        let file =
+            File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
         Arc::new(Record { since: Instant::now(), file: Mutex::new(file) })
     }
 
@@ -60,7 +61,10 @@
     pub fn query(&self, name: &str) -> String {
         let query = self.target.split_once('?').map_or("", |(_, query)| query);
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| value.to_owned()).unwrap_or_default()
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value.to_owned())
+            .unwrap_or_default()
     }
 }
 
@@ -186,9 +190,10 @@
     fn read(&self, request: &Request) -> String {
         let (table, from) = (request.query("table"), request.query("from"));
         let rows = self.rows.lock().unwrap();
-        let found = rows.rows.iter().filter(|((of, key), (_, value))| {
-            *of == table && *key >= from && value.is_some()
-        });
+        let found = rows
+            .rows
+            .iter()
+            .filter(|((of, key), (_, value))| *of == table && *key >= from && value.is_some());
         let found: Vec<String> = found.map(|(key, row)| row_json(key, row)).collect();
         self.page(&found, rows.version)
     }
@@ -208,7 +213,8 @@
             found.sort_by_key(|(_, (version, _))| *version);
             let left = until.saturating_duration_since(Instant::now());
             if !found.is_empty() || left.is_zero() {
-                let found: Vec<String> = found.iter().map(|(key, row)| row_json(key, row)).collect();
+                let found: Vec<String> =
+                    found.iter().map(|(key, row)| row_json(key, row)).collect();
                 return self.page(&found, rows.version);
             }
             rows = self.changed.wait_timeout(rows, left).unwrap().0;
@@ -253,7 +259,10 @@
     let Some(start) = body.find(&format!("\"{name}\":[")) else { return Vec::new() };
     let list = &body[start..];
     let list = &list[..list.find(']').unwrap_or(list.len())];
-    list.split('{').skip(1).map(|object| object.split('}').next().unwrap_or("").to_owned()).collect()
+    list.split('{')
+        .skip(1)
+        .map(|object| object.split('}').next().unwrap_or("").to_owned())
+        .collect()
 }
 
 fn text_of(object: &str, name: &str) -> String {
@@ -272,9 +281,11 @@
     let mut text = String::new();
     for three in bytes.chunks(3) {
         let first = u32::from(three[0]) << 16;
-        let bits = three.iter().skip(1).zip([8, 0]).fold(first, |bits, (byte, shift)| {
-            bits | u32::from(*byte) << shift
-        });
+        let bits = three
+            .iter()
+            .skip(1)
+            .zip([8, 0])
+            .fold(first, |bits, (byte, shift)| bits | u32::from(*byte) << shift);
         for place in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * place)) as usize & 63];
             text.push(if place <= three.len() { digit as char } else { '=' });
@@ -344,11 +355,17 @@
     pub fn start(count: u8, store: SocketAddr) -> Instances {
         let addresses: Vec<Ipv4Addr> = (1..=count).map(loopback).collect();
         let ports = Ports::free(&addresses);
-        let folder = std::env::temp_dir().join(format!("almondroad-review-{}", std::process::id()));
+        let folder = std::env::var_os("REVIEW_FOLDER").map_or_else(
+            || std::env::temp_dir().join(format!("almondroad-review-{}", std::process::id())),
+            PathBuf::from,
+        );
         std::fs::create_dir_all(&folder).unwrap_or_else(|error| cannot_run(&error.to_string()));
         let zones = ["kgn-a", "kgn-b", "spt-c"];
         let mut instances = Instances { addresses, ports, children: Vec::new(), folder };
-        let seeds: Vec<String> = instances.addresses.iter().take(3)
+        let seeds: Vec<String> = instances
+            .addresses
+            .iter()
+            .take(3)
             .map(|address| format!("\"{address}:{}\"", ports.peers))
             .collect();
         for (number, own) in instances.addresses.clone().into_iter().enumerate() {
@@ -361,8 +378,13 @@
                  \"store_address\":\"{store}\",\"is_first_start\":true,\"grace_s\":8.0,\
                  \"address_keep_s\":5,\"rate_window_s\":8,\"order_turn_ms\":3000,\
                  \"retry\":{{\"window_s\":10,\"share\":0.2,\"extra\":58}}}}",
-                ports.callers, ports.ready, ports.lookup, ports.peers, ports.status,
-                ports.metrics, seeds.join(",")
+                ports.callers,
+                ports.ready,
+                ports.lookup,
+                ports.peers,
+                ports.status,
+                ports.metrics,
+                seeds.join(",")
             );
             let file = instances.folder.join(format!("{number}.jsonc"));
             let log = instances.folder.join(format!("{number}.log"));
@@ -375,8 +397,14 @@
                 .stdout(File::create(log).unwrap())
                 .spawn();
             match started {
-                Ok(child) => instances.children.push(child),
-                Err(error) => cannot_run(&format!("almondroad-node: {error}")),
+                Ok(child) => {
+                    note_process(&instances.folder, child.id());
+                    instances.children.push(child);
+                }
+                Err(error) => {
+                    drop(instances);
+                    cannot_run(&format!("almondroad-node: {error}"));
+                }
             }
         }
         let since = Instant::now();
@@ -398,8 +426,8 @@
 
     /// Sends a signal to one instance.
     pub fn signal(&self, number: usize, name: &str) {
-        let id = self.children[number].id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        let id = self.children[number].id();
+        let _ = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
     }
 
     /// Lines of the instances' logs that contain `text`.
@@ -424,6 +452,12 @@
     }
 }
 
+/// Adds a process to the list that `run.sh` ends if it is interrupted.
+fn note_process(folder: &Path, id: u32) {
+    let list = File::options().append(true).create(true).open(folder.join("processes"));
+    let _ = list.and_then(|mut list| writeln!(list, "{id}"));
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) else {
         return false;
--- a/review/standin/resumed_stream.rs
+++ b/review/standin/resumed_stream.rs
@@ -111,7 +111,9 @@
         let is_continuation = last_event > 0;
         let number = u64::from_str_radix(attempt, 16).unwrap_or(0);
         let is_preempted = !is_continuation && number % PREEMPTED_ONE_IN == 0;
-        if !self.sleep(writer, if request.header("kv-source").is_empty() { PREFILL_MS * 2 } else { 5 }) {
+        if !self
+            .sleep(writer, if request.header("kv-source").is_empty() { PREFILL_MS * 2 } else { 5 })
+        {
             self.record.line(&format!("{} drops {attempt} before its first token", self.id));
             return Ok(());
         }
@@ -223,7 +225,9 @@
          Token-Counts: {PROMPT_TOKENS},{}\r\nPrompt-Prefix: 5c1e:200,{attempt}:2800\r\n\
          Length-Hint: {}\r\nDeadline-Ms: 14000\r\nAuthorization: Bearer key-1\r\n\
          Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        EVENTS * 12, EVENTS * 12, body.len()
+        EVENTS * 12,
+        EVENTS * 12,
+        body.len()
     );
     let mut answer = Vec::new();
     let sent = TcpStream::connect(address).and_then(|mut stream| {
@@ -274,7 +278,8 @@
     let instances = Instances::start(3, store_address);
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
-            let (record, address) = (Arc::clone(&record), instances.caller_address(caller as usize));
+            let (record, address) =
+                (Arc::clone(&record), instances.caller_address(caller as usize));
             std::thread::spawn(move || {
                 for number in 0..REQUESTS / CALLERS {
                     send(address, &format!("{:x}", 0xa000 + caller * 0x100 + number), &record);
