Split the request path and the balancer into files that need each other one way

Now: admit (route, key, body, rate), crash_check, placement (waiting for room) -> plan (choice of engines) -> memory_reservation, prefill, decode, open_stream -> stream_relay -> generate; sends (retry limits, health), refuse, responses; balance/choice and balance/reported_loads beside balance/balancer. estimate_memory, prompt_tokens and queue_penalty_ms became methods of RequestContext.

Behaviour is unchanged: code was moved; a failed reservation is still recorded after the load of its plan is released.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,6 +4,7 @@
 mod acceptance;
 mod avoid_report;
 mod balancer;
+mod choice;
 mod cold_turns;
 mod endpoint_notice;
 mod endpoint_state;
@@ -15,13 +16,15 @@
 mod memory_estimate;
 mod placement;
 mod recent_max;
+mod reported_loads;
 mod retry_window;
 mod send_count;
 mod wait_queue;
 
 pub use acceptance::Acceptance;
 pub use avoid_report::AvoidReport;
-pub use balancer::{Balancer, DecodeQuery, PrefillQuery};
+pub use balancer::Balancer;
+pub use choice::{DecodeQuery, PrefillQuery};
 pub use cold_turns::{ColdAllowance, ColdTurns};
 pub use endpoint_notice::{EndpointNotice, RetryAfter};
 pub use endpoint_state::EndpointState;
--- /dev/null
+++ b/src/forward/admit.rs
@@ -0,0 +1,146 @@
+//! Admission of callers' requests: route, key, body and rate.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use rand::Rng;
+
+use crate::balance::SendCount;
+use crate::catalog::{Customer, Route, RowDecoder, Service, ServiceConfiguration};
+use crate::clock::Clock;
+use crate::forward::refuse::MIN_RETRY_AFTER_MS;
+use crate::forward::request_context::{QuotaCharge, RequestContext};
+use crate::forward::request_log::RequestLog;
+use crate::forward::{CallerRequest, Codec, Forwarder, Refusal};
+use crate::units::Tokens;
+
+/// Result of admitting a request.
+pub(super) struct Admitted<C: Clock> {
+    route: Rc<Route>,
+    service: Rc<Service>,
+    customer: Option<Rc<Customer>>,
+    charge: QuotaCharge<C>,
+}
+
+impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
+    /// Finds the route, customer and service of a request, reads its body and charges the quota.
+    pub(super) async fn admit(
+        &self,
+        configuration: &ServiceConfiguration,
+        request: &mut CallerRequest,
+        body: Incoming,
+        log: &mut RequestLog<C>,
+    ) -> Result<Admitted<C>, Refusal> {
+        let route = configuration.find_route(&request.host, request.path());
+        let route = Rc::clone(route.ok_or(Refusal::NoRoute)?);
+        log.route = route.id.as_str().into();
+        let customer = find_customer(configuration, request, route.is_public)?;
+        if let Some(customer) = &customer {
+            log.organisation = customer.organisation.as_str().into();
+        }
+        let service = route.select_service(rand::rng().random());
+        let service = service.and_then(|id| configuration.service(id));
+        let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
+        let limits = configuration.limits();
+        request.body = read_body(body, limits.body_limit_bytes, limits.receive_timeout_ms).await?;
+        if self.is_closed.get() {
+            return Err(Refusal::Leaving);
+        }
+        self.refuse_crashing(&service.id, request)?;
+        let charge = self.charge(customer.as_deref(), request)?;
+        Ok(Admitted { route, service, customer, charge })
+    }
+
+    pub(super) fn context(
+        &self,
+        request: CallerRequest,
+        admitted: Admitted<C>,
+        log: RequestLog<C>,
+    ) -> RequestContext<C> {
+        let Admitted { route, service, customer, charge } = admitted;
+        let wait_ms = request.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let deadline = log.started_at.plus_ms(wait_ms);
+        let now = self.parts.clock.now();
+        let limits = &self.parts.retry_limits;
+        self.with_retry_window(&service.id, |window| window.record_request(now, limits));
+        RequestContext {
+            request,
+            route,
+            service,
+            customer,
+            deadline,
+            charge,
+            log,
+            sends: SendCount::default(),
+            runs: 0,
+            excluded: Vec::new(),
+        }
+    }
+
+    /// Charges the customer's quota for the request's tokens. Requests without a customer are free.
+    fn charge(
+        &self,
+        customer: Option<&Customer>,
+        request: &CallerRequest,
+    ) -> Result<QuotaCharge<C>, Refusal> {
+        let quotas = Rc::clone(&self.parts.quotas);
+        let Some(customer) = customer else {
+            return Ok(QuotaCharge {
+                clock: self.parts.clock.clone(),
+                quotas,
+                organisation: None,
+                tokens: Tokens(0),
+                has_run: true,
+            });
+        };
+        let tokens = match &request.generation {
+            Some(size) => Tokens(size.prompt_tokens + size.max_output_tokens),
+            None => customer.plain_tokens,
+        };
+        let now = self.parts.clock.now();
+        let acquired = quotas.borrow_mut().try_acquire(&customer.organisation, tokens, now);
+        if let Err(over_quota) = acquired {
+            let spread_ms = rand::rng().random_range(0..=MIN_RETRY_AFTER_MS);
+            let retry_after_ms = over_quota.retry_after_ms.max(MIN_RETRY_AFTER_MS) + spread_ms;
+            return Err(Refusal::OverQuota { retry_after_ms });
+        }
+        let organisation = Some(customer.organisation.clone());
+        let clock = self.parts.clock.clone();
+        Ok(QuotaCharge { clock, quotas, organisation, tokens, has_run: false })
+    }
+}
+
+/// Returns the customer of the request's key. Fails for an unknown key unless the route is public
+/// or the configuration has no keys.
+fn find_customer(
+    configuration: &ServiceConfiguration,
+    request: &CallerRequest,
+    allows_anonymous: bool,
+) -> Result<Option<Rc<Customer>>, Refusal> {
+    if !configuration.requires_keys() {
+        return Ok(None);
+    }
+    let customer = request.key.as_deref().and_then(|key| configuration.customer_by_key(key));
+    match customer {
+        Some(customer) => Ok(Some(Rc::clone(customer))),
+        None if allows_anonymous => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+/// Reads a request body of at most `max_bytes` that arrives within `limit_ms`.
+async fn read_body(body: Incoming, max_bytes: usize, limit_ms: u64) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let read = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout(Duration::from_millis(limit_ms), read).await {
+        Err(_) => Err(Refusal::Malformed { reason: "the body did not arrive in time" }),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed { reason: "the body is broken off" }),
+    }
+}
--- a/src/forward/memory_reservation.rs
+++ b/src/forward/memory_reservation.rs
@@ -8,7 +8,6 @@
 
 use crate::catalog::{Endpoint, RowDecoder};
 use crate::clock::Clock;
-use crate::forward::generate::{Plan, estimate_memory};
 use crate::forward::release_guard::ReleaseGuard;
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, EndpointError, Forwarder};
@@ -27,44 +26,39 @@
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     /// Reserves memory at the decode engine before the prefill. Only the engine knows how much
     /// memory is free: several instances may plan to use the same memory, and an engine continues
-    /// requests whose responses were lost. Returns `None` if the reservation fails.
+    /// requests whose responses were lost. Returns `None` if the engine is full.
     pub(super) async fn reserve_memory(
         &self,
         context: &mut RequestContext<C>,
-        mut plan: Plan<K, C>,
-    ) -> Option<Plan<K, C>> {
-        let endpoint = Rc::clone(&plan.decode.endpoint);
+        endpoint: &Rc<Endpoint>,
+    ) -> Result<Option<MemoryReservation<K, C>>, EndpointError> {
         let reserved =
-            self.exchange_reservation(&endpoint, estimate_memory(context).reserved_tokens).await;
+            self.exchange_reservation(endpoint, context.memory_estimate().reserved_tokens).await;
         let code = match &reserved {
             Ok(Some(_)) => "held",
             Ok(None) => "full",
             Err(error) => error.code(),
         };
         context.log.record_send("hold", endpoint.id.as_str(), code);
-        match reserved {
-            Ok(Some(name)) => {
-                let release = self.codec().cancel_reservation_request(&endpoint, &name);
-                let guard = ReleaseGuard::new(&self.parts.endpoints, &endpoint, release);
-                plan.memory_reservation = Some(MemoryReservation { name, guard });
-                Some(plan)
-            }
-            Ok(None) => {
-                drop(plan);
-                self.record_endpoint_full(&endpoint.id);
-                None
-            }
-            Err(error) => {
-                drop(plan);
-                let now = self.parts.clock.now();
-                let mut balancer = self.parts.balancer.borrow_mut();
-                if let Some(state) = balancer.endpoint_mut(&endpoint.id) {
-                    log::info!(target: "forward", endpoint = endpoint.id.as_str(),
-                        error = error.to_string().as_str(); "memory reservation failed");
-                    state.health.record_failure(now);
-                }
-                None
-            }
+        let Some(name) = reserved? else { return Ok(None) };
+        let release = self.codec().cancel_reservation_request(endpoint, &name);
+        let guard = ReleaseGuard::new(&self.parts.endpoints, endpoint, release);
+        Ok(Some(MemoryReservation { name, guard }))
+    }
+
+    /// Records that a memory reservation failed because of `error`, or because the engine is full.
+    pub(super) fn record_reservation_failure(
+        &self,
+        endpoint: &Endpoint,
+        error: Option<&EndpointError>,
+    ) {
+        let Some(error) = error else { return self.record_endpoint_full(&endpoint.id) };
+        let now = self.parts.clock.now();
+        let mut balancer = self.parts.balancer.borrow_mut();
+        if let Some(state) = balancer.endpoint_mut(&endpoint.id) {
+            log::info!(target: "forward", endpoint = endpoint.id.as_str(),
+                error = error.to_string().as_str(); "memory reservation failed");
+            state.health.record_failure(now);
         }
     }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -2,11 +2,14 @@
 //! selects an endpoint and returns its response. Bodies are opaque; a `Codec` reads and writes the
 //! message heads.
 
+mod admit;
 mod caller_request;
 mod codec;
 mod connection;
 mod connection_pool;
+mod crash_check;
 mod crash_counts;
+mod decode;
 mod end_detector;
 mod endpoint_body;
 mod endpoint_client;
@@ -17,11 +20,18 @@
 mod generate;
 mod label_set;
 mod memory_reservation;
+mod open_stream;
+mod placement;
 mod plain;
+mod plan;
+mod prefill;
 mod refusal;
+mod refuse;
 mod release_guard;
 mod request_context;
 mod request_log;
+mod responses;
+mod sends;
 mod stream_relay;
 
 pub use caller_request::{CallerRequest, Generation};
--- /dev/null
+++ b/src/forward/open_stream.rs
@@ -0,0 +1,80 @@
+//! Starts generations, trying engines until one accepts.
+
+use std::rc::Rc;
+
+use crate::balance::SendKind;
+use crate::catalog::{Endpoint, RowDecoder};
+use crate::clock::Clock;
+use crate::forward::decode::Opened;
+use crate::forward::prefill::Prefill;
+use crate::forward::request_context::RequestContext;
+use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder, Refusal};
+
+impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
+    /// Starts a generation, or continues the stream of `progress`, trying engines until one accepts
+    /// it or no attempt is left.
+    pub(super) async fn open_stream(
+        &self,
+        context: &mut RequestContext<C>,
+        progress: &EventSplitter,
+    ) -> Result<Opened, Refusal> {
+        let mut prefill: Option<Prefill<K, C>> = None;
+        loop {
+            let now = self.parts.clock.now();
+            if now >= context.deadline {
+                return Err(self.deadline_refusal(context));
+            }
+            prefill = prefill.filter(|prefill| now < prefill.usable_until);
+            let plan = self.place(context, prefill.as_ref().map(|prefill| &prefill.zone)).await?;
+            self.refuse_if_crashing(context)?;
+            if let Some(placement) = &plan.prefill {
+                // An engine may have left while the memory was reserved or the prompt was read.
+                if !self.may_receive(&placement.endpoint) {
+                    continue;
+                }
+                prefill = self.prefill(context, placement).await?;
+                if prefill.is_none() {
+                    continue;
+                }
+            }
+            self.refuse_if_crashing(context)?;
+            let endpoint = Rc::clone(&plan.decode.endpoint);
+            if !self.may_receive(&endpoint) {
+                continue;
+            }
+            let Some(send) = self.begin_send(context, &endpoint, SendKind::Run) else {
+                return Err(self.capacity_refusal(context));
+            };
+            let source = prefill.as_ref().map(|prefill| prefill.source.clone());
+            let result = self.decode(context, plan, source, progress).await;
+            self.finish_send(context, &endpoint, send, &result);
+            match result {
+                Ok(opened) => {
+                    // The decode engine has fetched the KV cache.
+                    if let Some(prefill) = &mut prefill {
+                        prefill.guard.disarm();
+                    }
+                    return Ok(opened);
+                }
+                Err(error) => {
+                    if error == EndpointError::NotRun {
+                        self.record_endpoint_full(&endpoint.id);
+                    }
+                    self.record_endpoint_failure(context, &endpoint, &error);
+                    if !error.is_not_run() {
+                        context.charge.has_run = true;
+                        context.runs += 1;
+                        prefill = None;
+                        if !context.may_run_again() {
+                            return Err(Refusal::ResponseLost);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn may_receive(&self, endpoint: &Endpoint) -> bool {
+        self.parts.balancer.borrow().may_receive(endpoint, self.parts.clock.now())
+    }
+}
--- /dev/null
+++ b/src/forward/placement.rs
@@ -0,0 +1,99 @@
+//! Admits generations to engines: lets them wait while all engines are full.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::balance::PlacementError;
+use crate::catalog::RowDecoder;
+use crate::clock::Clock;
+use crate::forward::plan::Plan;
+use crate::forward::request_context::RequestContext;
+use crate::forward::{Codec, Forwarder, Refusal};
+use crate::units::ZoneId;
+
+/// Maximum time that a request waits for an engine. Callers abandon a stream that has not begun
+/// after four times its target latency, 3.6 s on current deployments.
+const MAX_QUEUE_MS: u64 = 1_500;
+/// The same for a stream that is resumed at another engine, measured from its failure.
+const MAX_RESUME_QUEUE_MS: u64 = 1_200;
+/// Fraction of a decode engine's memory that is deliberately filled, and the lower fraction up to
+/// which requests are placed that already miss their target latency. The difference is left for
+/// requests that can still meet it.
+const FILL_FRACTION: f64 = 1.1;
+const LATE_FILL_FRACTION: f64 = 0.9;
+/// Interval at which a queued request checks the engines.
+const QUEUE_POLL_MS: u64 = 30;
+/// Typical time from the placement of a request to its first event.
+const TYPICAL_FIRST_EVENT_MS: u64 = 350;
+
+impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
+    /// Selects engines for a generation and reserves memory at the decode engine. While all engines
+    /// are full, the request waits in the queue for as long as the response can still be in time.
+    pub(super) async fn place(
+        &self,
+        context: &mut RequestContext<C>,
+        source_zone: Option<&ZoneId>,
+    ) -> Result<Plan<K, C>, Refusal> {
+        let wait_queue = self.wait_queue(&context.service.id);
+        let arrived_at = context.log.started_at;
+        let now = self.parts.clock.now();
+        let queue_until = if context.runs > 0 {
+            now.plus_ms(MAX_RESUME_QUEUE_MS)
+        } else {
+            arrived_at.plus_ms(MAX_QUEUE_MS)
+        };
+        let queue_until = queue_until.min(context.deadline);
+        if source_zone.is_none() && wait_queue.expected_wait_ms(now) > queue_until.ms_since(now) {
+            return Err(self.capacity_refusal(context));
+        }
+        let target_ms = context.route.target_latency_ms.saturating_sub(TYPICAL_FIRST_EVENT_MS);
+        let due_at = arrived_at.plus_ms(target_ms);
+        let ticket = wait_queue.enqueue(due_at, context.queue_penalty_ms(), now);
+        loop {
+            let now = self.parts.clock.now();
+            if ticket.is_next(now) || source_zone.is_some() {
+                let fill_fraction = if now > due_at { LATE_FILL_FRACTION } else { FILL_FRACTION };
+                match self.plan(context, source_zone, fill_fraction, now) {
+                    Ok(plan) => {
+                        if let Some(plan) = self.reserve_plan(context, plan).await {
+                            wait_queue.record_placement(now);
+                            return Ok(plan);
+                        }
+                        continue;
+                    }
+                    Err(
+                        error @ (PlacementError::NoEndpoint | PlacementError::AllPaused { .. }),
+                    ) => {
+                        return Err(self.placement_refusal(context, error));
+                    }
+                    Err(PlacementError::AllAvoided { .. } | PlacementError::AllFull) => {}
+                }
+            }
+            if now >= queue_until {
+                return Err(self.capacity_refusal(context));
+            }
+            let pause = Duration::from_millis(QUEUE_POLL_MS);
+            // A request that leaves the queue wakes the others. Memory freed by requests of peers
+            // causes no wakeup, so it is found by polling.
+            let _ = tokio::time::timeout(pause, wait_queue.dequeued()).await;
+        }
+    }
+
+    /// Reserves the plan's memory at its decode engine; `None` if that fails.
+    async fn reserve_plan(
+        &self,
+        context: &mut RequestContext<C>,
+        mut plan: Plan<K, C>,
+    ) -> Option<Plan<K, C>> {
+        let reserved = self.reserve_memory(context, &plan.decode.endpoint).await;
+        if let Ok(Some(memory_reservation)) = reserved {
+            plan.memory_reservation = Some(memory_reservation);
+            return Some(plan);
+        }
+        let endpoint = Rc::clone(&plan.decode.endpoint);
+        // The load that a rejection is recorded with is that of the other requests.
+        drop(plan);
+        self.record_reservation_failure(&endpoint, reserved.err().as_ref());
+        None
+    }
+}
--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -86,16 +86,6 @@
         answer
     }
 
-    /// Returns the refusal for a request whose deadline has passed.
-    pub(super) fn deadline_refusal(&self, context: &RequestContext<C>) -> Refusal {
-        if context.runs > 0 { Refusal::Timeout } else { Refusal::ExpiredBeforeRun }
-    }
-
-    /// Returns the refusal for a request that no endpoint can accept.
-    pub(super) fn capacity_refusal(&self, context: &RequestContext<C>) -> Refusal {
-        if context.runs > 0 { Refusal::ResponseLost } else { self.no_capacity(context.route.kind) }
-    }
-
     async fn send_plain(
         &self,
         context: &mut RequestContext<C>,
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use crate::balance::{Balancer, Load, SendCount};
+use crate::balance::{Balancer, Load, MemoryEstimate, SendCount};
 use crate::catalog::{Customer, Route, Service};
 use crate::clock::{Clock, Instant};
 use crate::forward::CallerRequest;
@@ -9,6 +9,10 @@
 use crate::quota::Quotas;
 use crate::units::{EndpointId, OrganisationId, Tokens};
 
+/// Queue penalty for each token that a request is expected to generate, because it occupies its
+/// memory for as long as it generates.
+const QUEUE_PENALTY_MS_PER_TOKEN: f64 = 0.3;
+
 /// State of an admitted request until it ends.
 pub struct RequestContext<C: Clock> {
     pub request: CallerRequest,
@@ -41,6 +45,32 @@
     pub fn may_run_again(&self) -> bool {
         self.route.kind.is_retryable() && self.runs < self.route.max_endpoints
     }
+
+    /// Tokens of the prompt; 0 unless the request is a generation.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.request.generation.as_ref().map_or(0, |size| size.prompt_tokens)
+    }
+
+    /// Returns the queue penalty that orders a request behind smaller ones.
+    pub fn queue_penalty_ms(&self) -> u64 {
+        let size = self.request.generation.as_ref();
+        let tokens = size.and_then(|size| size.expected_output_tokens).unwrap_or(0);
+        (tokens as f64 * QUEUE_PENALTY_MS_PER_TOKEN) as u64
+    }
+
+    /// Returns the KV cache memory that the generation needs at a decode engine.
+    pub fn memory_estimate(&self) -> MemoryEstimate {
+        let capacity = self.service.engine.map_or(u64::MAX, |engine| engine.kv_capacity.get());
+        self.request.generation.as_ref().map_or(MemoryEstimate::new(0, None, 0, capacity), |size| {
+            let expected_output = size.expected_output_tokens;
+            MemoryEstimate::new(
+                size.prompt_tokens,
+                expected_output,
+                size.max_output_tokens,
+                capacity,
+            )
+        })
+    }
 }
 
 /// Quota tokens charged for a request. Dropping it refunds them unless the request may have run.
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -9,7 +9,7 @@
 
 use crate::catalog::RowDecoder;
 use crate::clock::{Clock, Instant};
-use crate::forward::generate::{OpenStream, Opened};
+use crate::forward::decode::{OpenStream, Opened};
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder};
 use crate::http::BrokenStream;
