Count what peers have spent since their last reports against a rate

Cause: each instance admitted requests against its own usage and that of its peers' last reports, 0.5 s old on average with 87 instances and up to 1 s, since an instance that came near a limit still waited out the interval that it had begun. Besides, tokens of requests that were refused after waiting were taken out of a newer slot than the one they were counted in, and were missing from the window once that had left.

Change: the usage of peers since their last reports is estimated from the rate of their reported usage and the mean age of their last reports, and held against the limit and the threshold of quicker reports unless it is less than the request itself; StatusTimer lets urgency shorten an interval that has begun; returned tokens are taken out of the slot they were charged in.

--- a/src/fleet/heartbeat_exchange.rs
+++ b/src/fleet/heartbeat_exchange.rs
@@ -16,11 +16,11 @@
 use crate::clock::{Clock, Instant};
 use crate::fleet::{
     DatagramSocket, FailureDetector, Members, PeerUpdate, Probe, ProbeKind, Rumour, Status,
-    ZoneLoads,
+    StatusTimer, ZoneLoads,
 };
 
-/// Divisor of the send interval while a shared limit is nearly exhausted.
-const URGENT_INTERVAL_DIVISOR: u64 = 4;
+/// Interval between checks whether a status to all peers is due.
+const TIMER_STEP_MS: u64 = 30;
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Interval between two statuses with loads to the same collector, and between two reports of a
@@ -157,7 +157,13 @@
     }
 
     async fn send_periodically<H: StatusHandler>(&self, handler: &H) {
+        let mut timer = StatusTimer::new(Instant::default());
         loop {
+            let interval_ms = self.members.borrow().interval_ms();
+            if !timer.take_due(interval_ms, handler.is_urgent(), self.clock.now()) {
+                tokio::time::sleep(Duration::from_millis(TIMER_STEP_MS)).await;
+                continue;
+            }
             if self.members.borrow().is_divided_by_zone() {
                 let collectors = self.other_collectors(&handler.zone());
                 let mut others = self.members.borrow().addresses();
@@ -168,10 +174,6 @@
             }
             let lost = self.members.borrow_mut().expire(self.clock.now());
             lost.into_iter().for_each(|peer| handler.peer_lost(peer));
-            let pause_ms = self.members.borrow().interval_ms();
-            let pause_ms =
-                if handler.is_urgent() { pause_ms / URGENT_INTERVAL_DIVISOR } else { pause_ms };
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
--- a/src/forward/admit.rs
+++ b/src/forward/admit.rs
@@ -18,11 +18,11 @@
 use crate::units::Tokens;
 
 /// Result of admitting a request.
-pub(super) struct Admitted<C: Clock> {
+pub(super) struct Admitted {
     route: Rc<Route>,
     service: Rc<Service>,
     customer: Option<Rc<Customer>>,
-    charge: QuotaCharge<C>,
+    charge: QuotaCharge,
 }
 
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
@@ -33,7 +33,7 @@
         request: &mut CallerRequest,
         body: Incoming,
         log: &mut RequestLog<C>,
-    ) -> Result<Admitted<C>, Refusal> {
+    ) -> Result<Admitted, Refusal> {
         let route = configuration.find_route(&request.host, request.path());
         let route = Rc::clone(route.ok_or(Refusal::NoRoute)?);
         log.route = route.id.as_str().into();
@@ -57,7 +57,7 @@
     pub(super) fn context(
         &self,
         request: CallerRequest,
-        admitted: Admitted<C>,
+        admitted: Admitted,
         log: RequestLog<C>,
     ) -> RequestContext<C> {
         let Admitted { route, service, customer, charge } = admitted;
@@ -85,14 +85,14 @@
         &self,
         customer: Option<&Customer>,
         request: &CallerRequest,
-    ) -> Result<QuotaCharge<C>, Refusal> {
+    ) -> Result<QuotaCharge, Refusal> {
         let quotas = Rc::clone(&self.parts.quotas);
         let Some(customer) = customer else {
             return Ok(QuotaCharge {
-                clock: self.parts.clock.clone(),
                 quotas,
                 organisation: None,
                 tokens: Tokens(0),
+                charged_at: self.parts.clock.now(),
                 has_run: true,
             });
         };
@@ -108,8 +108,7 @@
             return Err(Refusal::OverQuota { retry_after_ms });
         }
         let organisation = Some(customer.organisation.clone());
-        let clock = self.parts.clock.clone();
-        Ok(QuotaCharge { clock, quotas, organisation, tokens, has_run: false })
+        Ok(QuotaCharge { quotas, organisation, tokens, charged_at: now, has_run: false })
     }
 }
 
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -21,7 +21,7 @@
     pub customer: Option<Rc<Customer>>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
-    pub charge: QuotaCharge<C>,
+    pub charge: QuotaCharge,
     pub log: RequestLog<C>,
     /// Sends that count against the service's retry limit.
     pub sends: SendCount,
@@ -74,19 +74,18 @@
 }
 
 /// Quota tokens charged for a request. Dropping it refunds them unless the request may have run.
-pub struct QuotaCharge<C: Clock> {
-    pub clock: C,
+pub struct QuotaCharge {
     pub quotas: Rc<RefCell<Quotas>>,
     pub organisation: Option<OrganisationId>,
     pub tokens: Tokens,
+    pub charged_at: Instant,
     pub has_run: bool,
 }
 
-impl<C: Clock> Drop for QuotaCharge<C> {
+impl Drop for QuotaCharge {
     fn drop(&mut self) {
         if let (false, Some(organisation)) = (self.has_run, &self.organisation) {
-            let now = self.clock.now();
-            self.quotas.borrow_mut().refund(organisation, self.tokens, now);
+            self.quotas.borrow_mut().refund(organisation, self.tokens, self.charged_at);
         }
     }
 }
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -263,5 +263,6 @@
         log::info!(target: "fleet", peer = peer.to_string().as_str(),
             live = self.members.borrow().live_count(); "peer lost");
         self.balancer.borrow_mut().remove_peer(IpAddr::V4(peer), self.clock.now());
+        self.quotas.borrow_mut().remove_peer(IpAddr::V4(peer));
     }
 }
--- a/src/quota/quotas.rs
+++ b/src/quota/quotas.rs
@@ -89,24 +89,26 @@
         tokens: Tokens,
         now: Instant,
     ) -> Result<(), OverQuota> {
+        let report_age_ms = self.peer_totals.mean_age_ms(now);
         let Some((_, window)) = self.windows.get_mut(organisation) else { return Ok(()) };
         window
-            .try_acquire(tokens, now, self.limit_share)
+            .try_acquire(tokens, now, self.limit_share, report_age_ms)
             .map_err(|retry_after_ms| OverQuota { retry_after_ms })
     }
 
     /// Returns the tokens of a request that certainly did not run.
-    pub fn refund(&mut self, organisation: &OrganisationId, tokens: Tokens, now: Instant) {
+    pub fn refund(&mut self, organisation: &OrganisationId, tokens: Tokens, charged_at: Instant) {
         if let Some((_, window)) = self.windows.get_mut(organisation) {
-            window.refund(tokens, now);
+            window.refund(tokens, charged_at);
         }
     }
 
     /// Whether an organisation is so close to its limit that instances should report their usage to
     /// each other without delay.
     pub fn is_any_near_limit(&mut self, now: Instant) -> bool {
-        let limit_share = self.limit_share;
-        self.windows.values_mut().any(|(_, window)| window.is_near_limit(now, limit_share))
+        let (limit_share, report_age_ms) = (self.limit_share, self.peer_totals.mean_age_ms(now));
+        let mut windows = self.windows.values_mut();
+        windows.any(|(_, window)| window.is_near_limit(now, limit_share, report_age_ms))
     }
 
     /// Usage of this instance, as reported to peers.
@@ -120,6 +122,11 @@
             .collect()
     }
 
+    /// Expects no further reports of a peer.
+    pub fn remove_peer(&mut self, peer: IpAddr) {
+        self.peer_totals.end_reports(peer);
+    }
+
     /// Applies a peer's report. `is_new_run` tells whether the peer started after this instance.
     pub fn record_peer_report(
         &mut self,
@@ -128,7 +135,7 @@
         is_new_run: bool,
         now: Instant,
     ) {
-        for change in self.peer_totals.record(peer, spent, is_new_run) {
+        for change in self.peer_totals.record(peer, spent, is_new_run, now) {
             let organisation = self.organisations.get(&change.organisation_key);
             let window = organisation.and_then(|organisation| self.windows.get_mut(organisation));
             if let Some((_, window)) = window {
--- a/tests/node/quota.rs
+++ b/tests/node/quota.rs
@@ -51,8 +51,8 @@
 #[test]
 fn a_batch_is_admitted_if_the_window_has_capacity() {
     let mut window = window();
-    assert!(window.try_acquire(Tokens(9_000), at(10), 1.0).is_ok());
-    assert!(window.try_acquire(Tokens(2_000), at(20), 1.0).is_err());
+    assert!(window.try_acquire(Tokens(9_000), at(10), 1.0, 0).is_ok());
+    assert!(window.try_acquire(Tokens(2_000), at(20), 1.0, 0).is_err());
 }
 
 /// Guards against instances that do not see the usage of each other.
@@ -79,25 +79,25 @@
 fn a_joining_instance_starts_with_a_spent_window() {
     let mut window = window();
     window.assume_fully_spent(at(0));
-    assert!(window.try_acquire(Tokens(500), at(0), 1.0).is_err());
-    assert!(window.try_acquire(Tokens(500), at(1_200), 1.0).is_ok());
+    assert!(window.try_acquire(Tokens(500), at(0), 1.0, 0).is_err());
+    assert!(window.try_acquire(Tokens(500), at(1_200), 1.0, 0).is_ok());
 }
 
 /// Guards against a partitioned instance that spends the same tokens as the others.
 #[test]
 fn the_share_of_unreachable_instances_is_left_to_them() {
     let mut window = window();
-    assert!(window.try_acquire(Tokens(2_500), at(0), 0.25).is_ok());
-    assert!(window.try_acquire(Tokens(100), at(10), 0.25).is_err());
+    assert!(window.try_acquire(Tokens(2_500), at(0), 0.25, 0).is_ok());
+    assert!(window.try_acquire(Tokens(100), at(10), 0.25, 0).is_err());
 }
 
 /// Guards against a retry delay that ends before tokens are available.
 #[test]
 fn a_request_is_admitted_after_its_retry_delay() {
     let mut window = window();
-    window.try_acquire(Tokens(10_000), at(0), 1.0).unwrap();
-    let wait_ms = window.try_acquire(Tokens(100), at(1_000), 1.0).unwrap_err();
-    assert!(window.try_acquire(Tokens(100), at(1_000 + wait_ms), 1.0).is_ok());
+    window.try_acquire(Tokens(10_000), at(0), 1.0, 0).unwrap();
+    let wait_ms = window.try_acquire(Tokens(100), at(1_000), 1.0, 0).unwrap_err();
+    assert!(window.try_acquire(Tokens(100), at(1_000 + wait_ms), 1.0, 0).is_ok());
 }
 
 /// Time to record `rounds` reports of each of some peers, about one of `organisations`.
@@ -171,7 +171,7 @@
         let mut admitted: Vec<(u64, u64)> = Vec::new();
         for (pause_ms, tokens, is_refunded) in requests {
             now_ms += pause_ms;
-            if window.try_acquire(Tokens(tokens), at(now_ms), 1.0).is_err() {
+            if window.try_acquire(Tokens(tokens), at(now_ms), 1.0, 0).is_err() {
                 continue;
             }
             if is_refunded {
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -18,6 +18,7 @@
     mod order_lease;
     mod peer_pull;
     mod quota;
+    mod quota_fleet;
     mod replica;
     mod retry_window;
     mod roles;
