--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod rumour;
 mod rumour_queue;
 mod status;
+mod status_extension;
 mod status_timer;
 mod zone_loads;
 
@@ -30,5 +31,6 @@
 pub use report_receivers::ReportReceivers;
 pub use rumour::{Liveness, Rumour};
 pub use status::{CrashCount, Status};
+pub use status_extension::StatusExtension;
 pub use status_timer::StatusTimer;
 pub use zone_loads::ZoneLoads;
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -5,7 +5,7 @@
 
 use crate::balance::PeerLoad;
 use crate::crashes::CrashReports;
-use crate::fleet::Notices;
+use crate::fleet::{Notices, StatusExtension};
 use crate::quota::TokenUsage;
 
 /// Number of times that requests with one fingerprint have crashed an endpoint.
@@ -45,15 +45,22 @@
     /// Requests and parts of prompts under which endpoints have ended. Appended after the notices.
     #[serde(skip)]
     pub crash_reports: CrashReports,
+    /// Appended after the crash reports, which are then sent even if they are empty.
+    #[serde(skip)]
+    pub extension: StatusExtension,
 }
 
 impl Status {
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = postcard::to_extend(&self.notices, postcard::to_stdvec(self)?)?;
-        if self.crash_reports.is_empty() {
+        if self.crash_reports.is_empty() && self.extension.is_empty() {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&self.crash_reports, bytes)?;
+        if self.extension.is_empty() {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.crash_reports, bytes)
+        postcard::to_extend(&self.extension, bytes)
     }
 
     /// Decodes a status. That of an instance of an earlier version lacks what is appended.
@@ -63,7 +70,11 @@
             let (notices, rest) = postcard::take_from_bytes(rest)?;
             status.notices = notices;
             if !rest.is_empty() {
-                status.crash_reports = postcard::from_bytes(rest)?;
+                let (crash_reports, rest) = postcard::take_from_bytes(rest)?;
+                status.crash_reports = crash_reports;
+                if !rest.is_empty() {
+                    status.extension = postcard::from_bytes(rest)?;
+                }
             }
         }
         Ok(status)
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -9,7 +9,9 @@
 use crate::catalog::Catalog;
 use crate::clock::{Clock, Instant};
 use crate::crashes::{CrashReports, CrashingParts};
-use crate::fleet::{Members, Notices, PeerUpdate, Status, StatusHandler, ZoneLoads};
+use crate::fleet::{
+    Members, Notices, PeerUpdate, Status, StatusExtension, StatusHandler, ZoneLoads,
+};
 use crate::forward::{
     ConnectionPool, CrashCounts, EndpointClient, EndpointClientParts, Forwarder, ForwarderParts,
 };
@@ -178,6 +180,7 @@
                 parts: self.crashing_parts.borrow().reports(now),
                 requests: self.crashes.borrow().reports(now),
             },
+            extension: StatusExtension::default(),
         }
     }
 
--- a/tests/fleet_at_size/simulated_fleet.rs
+++ b/tests/fleet_at_size/simulated_fleet.rs
@@ -68,6 +68,7 @@
             known: Vec::new(),
             notices: Notices::default(),
             crash_reports: almondroad::crashes::CrashReports::default(),
+            extension: almondroad::fleet::StatusExtension::default(),
         }
     }
 
--- a/tests/node/crashing_parts.rs
+++ b/tests/node/crashing_parts.rs
@@ -3,7 +3,7 @@
 use almondroad::balance::IncarnationKey;
 use almondroad::clock::Instant;
 use almondroad::crashes::{CrashReports, CrashingParts, PartKey};
-use almondroad::fleet::Status;
+use almondroad::fleet::{Status, StatusExtension};
 use almondroad::units::{PromptPartId, ServiceId};
 use proptest::prelude::*;
 
@@ -241,3 +241,14 @@
     assert_eq!(Status::decode(&encoded).unwrap(), with_reports);
     assert_eq!(Status::decode(&before).unwrap(), status(1, 1));
 }
+
+/// Guards against an extension that instances of an earlier version take for crash reports, or that
+/// is lost while there are none.
+#[test]
+fn the_extension_follows_the_crash_reports() {
+    let extension = StatusExtension { waiting: vec![1, 2], ..StatusExtension::default() };
+    let extended = Status { extension, ..status(1, 1) };
+    let encoded = extended.encode().unwrap();
+    assert!(encoded.starts_with(&status(1, 1).encode().unwrap()));
+    assert_eq!(Status::decode(&encoded).unwrap(), extended);
+}
--- a/tests/node/members.rs
+++ b/tests/node/members.rs
@@ -26,6 +26,7 @@
         known: Vec::new(),
         notices: Notices::default(),
         crash_reports: almondroad::crashes::CrashReports::default(),
+        extension: almondroad::fleet::StatusExtension::default(),
     }
 }
 
--- a/tests/node_exchange.rs
+++ b/tests/node_exchange.rs
@@ -41,6 +41,7 @@
             known: Vec::new(),
             notices: Notices::default(),
             crash_reports: almondroad::crashes::CrashReports::default(),
+            extension: almondroad::fleet::StatusExtension::default(),
         }
     }
 
