Find the pace of endpoints that start or recover from how they answer

Cause by reading: an endpoint that has just started has no load and is chosen by all instances at once; after a failure each instance sends one request at a time and then all of its load, 60 to 70 instances together.

Change: balance/pace limits the requests of all instances at such an endpoint, from 4 on, doubled in each step of good answers, held by slow ones, halved by failures and rejections, until its slots are reached. Parts by the ring of cold turns. On where the configuration gives no cold rates. docs/design/pace.md.

Tests: tests/node/pace.rs (1, 8, 60 and 400 instances; flood at once, growth to the full share within six steps, slow answers, failures, recovery, restarts). Before, a_new_endpoint_is_not_flooded_by_the_fleet has no limit to test.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -33,6 +33,10 @@
     /// Number of instances that share the retry limits.
     pub(super) instances: usize,
     pub(super) cold_turns: ColdTurns,
+    /// Whether the pace of endpoints that start or recover is found from their answers.
+    pub(super) is_paced: bool,
+    /// Whether endpoints that appear now have just started.
+    knows_endpoints: bool,
     pub(super) marks: IncarnationMarks,
     pub(super) rng: StdRng,
 }
@@ -55,6 +59,8 @@
             cold_rates: HashMap::new(),
             instances: 1,
             cold_turns: ColdTurns::default(),
+            is_paced: false,
+            knows_endpoints: false,
             marks: IncarnationMarks::default(),
             rng,
         }
@@ -73,7 +79,23 @@
         self.instances
     }
 
+    /// Sets whether the pace of endpoints that start or recover is found from their answers. Where
+    /// the configuration gives cold rates, these are kept instead.
+    pub fn set_paced(&mut self, is_paced: bool) {
+        self.is_paced = is_paced;
+    }
+
+    /// Takes endpoints that appear from now on for new ones. Those that are known when an instance
+    /// starts may have run for long.
+    pub fn set_endpoints_known(&mut self) {
+        self.knows_endpoints = true;
+    }
+
     pub fn set_zones_out_of_service(&mut self, zones: HashSet<ZoneId>) {
+        for state in self.endpoints.values_mut() {
+            let zone = &state.endpoint.zone;
+            state.is_returning |= self.zones_out_of_service.contains(zone) && !zones.contains(zone);
+        }
         self.zones_out_of_service = zones;
     }
 
@@ -96,6 +118,7 @@
             let is_same_process = known.endpoint.started_unix_ms == endpoint.started_unix_ms;
             if is_same_process && known.endpoint.service == endpoint.service {
                 if known.endpoint.role != endpoint.role {
+                    known.is_returning = true;
                     known.role_change_until = Instant::default();
                 }
                 known.endpoint = Rc::clone(endpoint);
@@ -107,6 +130,7 @@
         let mut state = EndpointState::new(Rc::clone(endpoint));
         state.has_left_notice = self.marks.is_leaving(&state.incarnation);
         state.pause(self.marks.paused_until(&state.incarnation));
+        state.is_returning = self.knows_endpoints;
         self.by_service.entry(endpoint.service.clone()).or_default().push(endpoint.id.clone());
         self.by_key.insert(state.key, endpoint.id.clone());
         self.endpoints.insert(endpoint.id.clone(), state);
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use crate::balance::{Balancer, EndpointState, Placement, PlacementError};
+use crate::balance::{Balancer, ColdTurns, EndpointState, Placement, PlacementError};
 use crate::catalog::{EndpointRole, EngineProperties};
 use crate::clock::Instant;
 use crate::units::{EndpointId, ServiceId, ZoneId};
@@ -14,6 +14,8 @@
 const DEFAULT_PREFILL_MS_PER_TOKEN: f64 = 0.04;
 /// A decode engine processes a prompt at half the speed of a prefill engine.
 const DECODE_PREFILL_TIME_FACTOR: f64 = 2.0;
+/// Prompt length for which the time of a prefill is estimated where no request is at hand.
+const TYPICAL_PROMPT_TOKENS: f64 = 3_000.0;
 /// Response time of a plain service until a measurement exists.
 const DEFAULT_RESPONSE_MS: f64 = 60.0;
 /// Score penalty of an endpoint in another zone: the extra expected time that is accepted to stay
@@ -142,6 +144,19 @@
         measured.unwrap_or(DEFAULT_PREFILL_MS_PER_TOKEN)
     }
 
+    /// Times that the endpoints of a service and role usually take for a unit of work, if measured,
+    /// and for a response.
+    fn usual_times(&self, service: &ServiceId, role: Option<EndpointRole>) -> (Option<f64>, f64) {
+        let unit_ms = self.average(service, |state| {
+            if state.endpoint.role == role { state.average_unit_ms() } else { None }
+        });
+        let response_ms = match role {
+            Some(EndpointRole::Prefill) => unit_ms.map(|ms| ms * TYPICAL_PROMPT_TOKENS),
+            _ => unit_ms,
+        };
+        (unit_ms, response_ms.unwrap_or(DEFAULT_RESPONSE_MS))
+    }
+
     fn average(
         &self,
         service: &ServiceId,
@@ -166,6 +181,7 @@
     ) -> Result<Placement, PlacementError> {
         let ids = self.by_service.get(service).ok_or(PlacementError::NoEndpoint)?;
         let cold_rate = self.cold_rates.get(service).copied();
+        let usual = if self.is_paced { self.usual_times(service, role) } else { (None, 0.0) };
         let mut best: Option<(f64, f64, &EndpointId)> = None;
         let mut fallback: Option<(f64, f64, &EndpointId)> = None;
         let mut placement_error = PlacementError::NoEndpoint;
@@ -201,7 +217,9 @@
                     state.cold_sends(allowance.window_ms, now) >= allowance.requests
                 });
             let is_held_back = is_probing && !is_fallback;
-            if is_held_back || is_cold_limited || now < state.backoff_until {
+            let is_paced =
+                self.is_paced && !is_fallback && !keeps_pace(state, &self.cold_turns, usual, now);
+            if is_held_back || is_cold_limited || is_paced || now < state.backoff_until {
                 placement_error = PlacementError::AllFull;
                 continue;
             }
@@ -227,3 +245,21 @@
         Ok(Placement { endpoint, expected_ms: expected_ms as u64 })
     }
 }
+
+/// Whether this instance may send the endpoint one more request at its present pace. Begins the pace
+/// of an endpoint that has just started or recovered; `usual` are its peers' times for a unit of work
+/// and for a response.
+fn keeps_pace(
+    state: &mut EndpointState,
+    turns: &ColdTurns,
+    (unit_ms, response_ms): (Option<f64>, f64),
+    now: Instant,
+) -> bool {
+    let has_recovered = state.health.take_recovered();
+    if std::mem::take(&mut state.is_returning) || has_recovered {
+        state.pace.begin(unit_ms, response_ms, now);
+    }
+    state.pace.advance(state.endpoint.slots, now);
+    let Some(limit) = state.pace.limit() else { return true };
+    state.local_load.requests < turns.part(state.key, limit)
+}
--- a/src/balance/cold_turns.rs
+++ b/src/balance/cold_turns.rs
@@ -72,6 +72,13 @@
         ColdAllowance { requests, window_ms: WINDOW_MS as u64 }
     }
 
+    /// Returns this instance's part of `requests` that all instances together may have at an endpoint.
+    pub fn part(&self, endpoint_key: u32, requests: u32) -> u32 {
+        let Some(rank) = self.rank(endpoint_key) else { return 1 };
+        let count = self.positions.len() as u32;
+        requests / count + u32::from((rank as u32) < requests % count)
+    }
+
     /// Number of instances between an endpoint's position on the ring and this instance; `None` if
     /// the fleet is unknown.
     fn rank(&self, endpoint_key: u32) -> Option<usize> {
--- a/src/balance/endpoint_state.rs
+++ b/src/balance/endpoint_state.rs
@@ -3,7 +3,7 @@
 
 use smol_str::SmolStr;
 
-use crate::balance::{Acceptance, AvoidReport, Health, IncarnationKey, Load};
+use crate::balance::{Acceptance, AvoidReport, Health, IncarnationKey, Load, Pace};
 use crate::catalog::Endpoint;
 use crate::clock::Instant;
 
@@ -33,6 +33,9 @@
     pub key: u32,
     pub incarnation: IncarnationKey,
     pub acceptance: Acceptance,
+    pub pace: Pace,
+    /// The endpoint has just started or returned, so that its pace begins with its next request.
+    pub is_returning: bool,
     /// The process has announced in a response that it is leaving, or a peer has been told so.
     pub has_left_notice: bool,
     /// The endpoint has asked for no requests before this time.
@@ -61,6 +64,8 @@
             key: incarnation.endpoint_key,
             incarnation,
             acceptance: Acceptance::default(),
+            pace: Pace::default(),
+            is_returning: false,
             has_left_notice: false,
             paused_until: Instant::default(),
             average_unit_ms: None,
@@ -77,6 +82,7 @@
     /// peers have not been reported yet.
     pub fn record_full(&mut self, now: Instant) {
         self.last_rejection = Some((now, self.load().memory_tokens));
+        self.pace.record_failure(now);
         self.backoff_until = now.plus_ms(REJECTION_BACKOFF_MS);
     }
 
@@ -113,11 +119,13 @@
         let avoid_ms = self.health.local_avoid_ms(now).max(self.role_change_until.ms_since(now));
         let is_plain = self.endpoint.role.is_none();
         AvoidReport::new(avoid_ms, is_plain && self.health.is_lossy(now))
+            .with_slowness(self.pace.is_slow())
     }
 
     /// Adds a measurement of the time per unit of work: a prompt token for a prefill engine, a
     /// response otherwise.
     pub fn record_unit_time(&mut self, unit_ms: f64) {
+        self.pace.record_answer(unit_ms);
         let average = self.average_unit_ms.unwrap_or(unit_ms);
         self.average_unit_ms = Some(average + SMOOTHING_FACTOR * (unit_ms - average));
     }
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -33,6 +33,10 @@
     last_peer_success: Instant,
     /// The endpoint gets one request at a time until it has answered one.
     is_half_open: bool,
+    /// The endpoint was down for longer than a single failure tells.
+    was_down: bool,
+    /// It has answered again since.
+    has_recovered: bool,
     error_rate: f64,
     /// Fraction of missing responses.
     loss_rate: f64,
@@ -42,6 +46,7 @@
 
 impl Health {
     pub fn record_success(&mut self, now: Instant) {
+        self.has_recovered |= std::mem::take(&mut self.was_down);
         self.consecutive_failures = 0;
         self.is_half_open = false;
         self.avoid_until = Instant::default();
@@ -60,6 +65,7 @@
     /// Records a missing or truncated response.
     pub fn record_failure(&mut self, now: Instant) {
         let avoid_ms = (INITIAL_AVOID_MS << self.consecutive_failures.min(4)).min(MAX_AVOID_MS);
+        self.was_down |= self.consecutive_failures > 0;
         self.consecutive_failures += 1;
         self.avoid_until = self.avoid_until.max(now.plus_ms(avoid_ms));
         self.is_half_open = true;
@@ -70,6 +76,7 @@
     /// Sends one request at a time until the endpoint has answered one, whatever it did before.
     pub fn begin_probing(&mut self) {
         self.is_half_open = true;
+        self.was_down = true;
         self.last_success = Instant::default();
         self.last_peer_success = Instant::default();
     }
@@ -91,6 +98,7 @@
         if until > self.avoid_until {
             self.avoid_until = until;
             self.is_half_open = true;
+            self.was_down |= avoidance.avoid_ms() > INITIAL_AVOID_MS;
         }
     }
 
@@ -111,6 +119,11 @@
         self.settled_loss_rate >= MIN_LOSS_RATE && self.fails_at_times(now)
     }
 
+    /// Returns whether the endpoint has recovered since the last call.
+    pub fn take_recovered(&mut self) -> bool {
+        std::mem::take(&mut self.has_recovered)
+    }
+
     pub fn is_half_open(&self) -> bool {
         self.is_half_open
     }
--- a/src/balance/reported_loads.rs
+++ b/src/balance/reported_loads.rs
@@ -117,7 +117,11 @@
             let Some(state) = self.endpoint_by_key(key) else { continue };
             state.peer_load.subtract(&before);
             state.peer_load.add(&after);
+            if avoidance.is_slow() {
+                state.pace.record_slowness();
+            }
             if avoidance.is_avoided() {
+                state.pace.record_failure(now);
                 state.health.record_peer_failure(avoidance, now);
             }
         }
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -43,9 +43,12 @@
     let mut balancer = node.balancer.borrow_mut();
     balancer.set_zones_out_of_service(node.catalog.zones_out_of_service());
     let Some(configuration) = node.catalog.configuration() else { return };
+    let mut has_cold_rates = false;
     for service in configuration.services() {
         balancer.set_cold_rate(service.id.clone(), service.cold_requests_per_s);
+        has_cold_rates |= service.cold_requests_per_s.is_some();
     }
+    balancer.set_paced(!has_cold_rates);
     let now = node.clock.now();
     node.quotas.borrow_mut().set_customers(configuration.customers(), now);
 }
@@ -85,6 +88,7 @@
     // An instance that does not know its peers yet would take the turns of all of them.
     if members.is_settled(now) {
         balancer.set_cold_turns(node.settings.address, members.serving_peers(now));
+        balancer.set_endpoints_known();
     }
     node.quotas.borrow_mut().set_limit_share(members.rate_share(now));
 }
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -16,6 +16,7 @@
     mod members;
     mod memory_pattern;
     mod order_lease;
+    mod pace;
     mod peer_pull;
     mod quota;
     mod quota_fleet;
