--- a/tests/node/pace.rs
+++ b/tests/node/pace.rs
@@ -95,7 +95,7 @@
 fn fleet(instances: usize) -> Vec<Balancer> {
     let known = plain("known");
     let balancers = (0..instances).map(|own| {
-        let mut balancer = seeded_balancer(&[known.clone()], own as u64);
+        let mut balancer = seeded_balancer(std::slice::from_ref(&known), own as u64);
         let peers = (0..instances).filter(|peer| *peer != own);
         balancer.set_cold_turns(address(own), peers.map(address));
         balancer.set_paced(true);
