--- a/src/http/abortable_stream.rs
+++ b/src/http/abortable_stream.rs
@@ -10,15 +10,21 @@
 use tokio::net::TcpStream;
 
 /// A TCP connection that is reset instead of closed when it is dropped after an abort. A response
-/// whose end is marked by the end of its connection would otherwise look complete.
+/// whose end is marked by the end of its connection would otherwise look complete. Counts the bytes
+/// that are read.
 pub(super) struct AbortableStream {
     stream: TcpStream,
     is_aborted: Rc<Cell<bool>>,
+    received_bytes: Rc<Cell<u64>>,
 }
 
 impl AbortableStream {
-    pub(super) fn new(stream: TcpStream, is_aborted: Rc<Cell<bool>>) -> AbortableStream {
-        AbortableStream { stream, is_aborted }
+    pub(super) fn new(
+        stream: TcpStream,
+        is_aborted: Rc<Cell<bool>>,
+        received_bytes: Rc<Cell<u64>>,
+    ) -> AbortableStream {
+        AbortableStream { stream, is_aborted, received_bytes }
     }
 }
 
@@ -38,7 +44,11 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let filled_before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let received = buffer.filled().len() - filled_before;
+        self.received_bytes.set(self.received_bytes.get() + received as u64);
+        polled
     }
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,9 +6,11 @@
 mod http_client;
 mod http_error;
 mod local_executor;
+mod open_requests;
 mod response_body;
 mod serve_options;
 mod server;
+mod tracked_body;
 mod transport;
 
 pub use handler::Handler;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -8,6 +8,7 @@
 
 use futures::FutureExt;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,6 +19,8 @@
 use tokio::task::JoinSet;
 
 use crate::http::abortable_stream::AbortableStream;
+use crate::http::open_requests::OpenRequests;
+use crate::http::tracked_body::TrackedBody;
 use crate::http::{Handler, LocalExecutor, ServeOptions, Transport};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -84,32 +87,41 @@
     // time between tokens.
     let _ = stream.set_nodelay(true);
     let is_aborted = Rc::new(Cell::new(false));
-    let stream = AbortableStream::new(stream, Rc::clone(&is_aborted));
+    let received_bytes = Rc::default();
+    let requests = Rc::new(OpenRequests::new(Rc::clone(&received_bytes)));
+    let stream = AbortableStream::new(stream, Rc::clone(&is_aborted), received_bytes);
+    let ends = ConnectionEnds { is_aborted: &is_aborted, requests, shutdown };
     let Transport::Tls(acceptor) = transport else {
-        return serve_connection(stream, &is_aborted, options, remote, handler, shutdown).await;
+        return serve_connection(stream, options, remote, handler, ends).await;
     };
     match tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await {
-        Ok(Ok(stream)) => {
-            serve_connection(stream, &is_aborted, options, remote, handler, shutdown).await;
-        }
+        Ok(Ok(stream)) => serve_connection(stream, options, remote, handler, ends).await,
         Ok(Err(error)) => log::debug!("TLS handshake with {remote} failed: {error}"),
         Err(_) => log::debug!("TLS handshake with {remote} timed out"),
     }
 }
 
-/// Serves the requests of one connection. Sets `is_aborted` if a response whose end is marked by the
-/// end of the connection was broken off.
+/// What decides how a connection ends.
+struct ConnectionEnds<'a> {
+    /// Set if a response whose end is marked by the end of the connection was broken off.
+    is_aborted: &'a Cell<bool>,
+    requests: Rc<OpenRequests>,
+    shutdown: watch::Receiver<bool>,
+}
+
+/// Serves the requests of one connection. After the shutdown it is closed as soon as no response is
+/// being sent: hyper drops a request that it has received behind the one whose response is the last.
 async fn serve_connection<S, H>(
     stream: S,
-    is_aborted: &Cell<bool>,
     options: ServeOptions,
     remote: SocketAddr,
     handler: Rc<H>,
-    mut shutdown: watch::Receiver<bool>,
+    ends: ConnectionEnds<'_>,
 ) where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
     H: Handler,
 {
+    let ConnectionEnds { is_aborted, requests, mut shutdown } = ends;
     let mut builder = auto::Builder::new(LocalExecutor);
     builder
         .http1()
@@ -122,14 +134,28 @@
     builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
     let is_end_unmarked = Rc::new(Cell::new(false));
     let version_seen = Rc::clone(&is_end_unmarked);
+    let opened = Rc::clone(&requests);
+    let is_stopping = Rc::new(Cell::new(false));
+    let is_last = Rc::clone(&is_stopping);
     let service = service_fn(move |request: Request<Incoming>| {
         version_seen.set(request.version() < Version::HTTP_11);
-        let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
+        let (handler, is_last) = (Rc::clone(&handler), Rc::clone(&is_last));
+        let open_request = opened.open(&request);
+        let version = request.version();
+        async move {
+            let mut response = handler.handle(request, remote).await;
+            if version < Version::HTTP_2 && open_request.may_have_successor() {
+                // hyper would drop the requests that are still to be answered.
+                response.headers_mut().remove(CONNECTION);
+            } else if version < Version::HTTP_2 && is_last.get() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut stopping = false;
+    let mut is_closing = false;
     loop {
         tokio::select! {
             biased;
@@ -140,10 +166,12 @@
                 }
                 return;
             }
-            _ = shutdown.wait_for(|stop| *stop), if !stopping => {
-                stopping = true;
-                connection.as_mut().graceful_shutdown();
-            }
+            _ = shutdown.wait_for(|stop| *stop), if !is_stopping.get() => is_stopping.set(true),
+            () = requests.last_ended(), if is_stopping.get() && !is_closing => {}
+        }
+        if is_stopping.get() && !is_closing && (requests.has_version_2() || !requests.is_any()) {
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
         }
     }
 }
