Close a stalled stream when another engine works on its continuation

Change: open_stream gets the stalled stream. It stays usable while placement, reservation, prefill or a rejection fail, and is closed 150 ms after the decode was sent, or at once if the other engine may have run the request.

--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -24,7 +24,7 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let last_event = context.request.generation.as_ref().and_then(|size| size.last_event);
         let splitter = EventSplitter::after(last_event);
-        match self.open_stream(&mut context, &splitter).await {
+        match self.open_stream(&mut context, &splitter, &mut None).await {
             Err(refusal) => {
                 context.log.set_outcome(refusal.code());
                 Err(refusal)
--- a/src/forward/open_stream.rs
+++ b/src/forward/open_stream.rs
@@ -1,22 +1,30 @@
 //! Starts generations, trying engines until one accepts.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use crate::balance::SendKind;
 use crate::catalog::{Endpoint, RowDecoder};
 use crate::clock::Clock;
-use crate::forward::decode::Opened;
+use crate::forward::decode::{OpenStream, Opened};
 use crate::forward::prefill::Prefill;
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder, Refusal};
 
+/// Time for which a stalled stream stays open after its continuation was sent to another engine.
+/// Long enough for a rejection, after which the stalled stream is still of use. The engines must not
+/// work on the same request for more than 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(150);
+
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     /// Starts a generation, or continues the stream of `progress`, trying engines until one accepts
-    /// it or no attempt is left.
+    /// it or no attempt is left. Closes `stalled_stream`, an earlier part of the same generation,
+    /// before another engine has worked on the request for long.
     pub(super) async fn open_stream(
         &self,
         context: &mut RequestContext<C>,
         progress: &EventSplitter,
+        stalled_stream: &mut Option<OpenStream>,
     ) -> Result<Opened, Refusal> {
         let mut prefill: Option<Prefill<K, C>> = None;
         loop {
@@ -46,10 +54,14 @@
                 return Err(self.capacity_refusal(context));
             };
             let source = prefill.as_ref().map(|prefill| prefill.source.clone());
-            let result = self.decode(context, plan, source, progress).await;
+            let decode = self.decode(context, plan, source, progress);
+            let result = close_after_overlap(decode, stalled_stream).await;
             self.finish_send(context, &endpoint, send, &result);
             match result {
                 Ok(opened) => {
+                    if matches!(opened, Opened::Stream(_)) {
+                        *stalled_stream = None;
+                    }
                     // The decode engine has fetched the KV cache.
                     if let Some(prefill) = &mut prefill {
                         prefill.guard.disarm();
@@ -62,6 +74,8 @@
                     }
                     self.record_endpoint_failure(context, &endpoint, &error);
                     if !error.is_not_run() {
+                        // The request has gone on at this engine, even if that has ended.
+                        *stalled_stream = None;
                         context.charge.has_run = true;
                         context.runs += 1;
                         prefill = None;
@@ -78,3 +92,18 @@
         self.parts.balancer.borrow().may_receive(endpoint, self.parts.clock.now())
     }
 }
+
+/// Waits for the start of a continuation, and closes the stalled stream if that takes long.
+async fn close_after_overlap<T>(
+    continuation: impl Future<Output = T>,
+    stalled_stream: &mut Option<OpenStream>,
+) -> T {
+    tokio::pin!(continuation);
+    if stalled_stream.is_some() {
+        match tokio::time::timeout(MAX_OVERLAP, &mut continuation).await {
+            Ok(started) => return started,
+            Err(_) => *stalled_stream = None,
+        }
+    }
+    continuation.await
+}
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -76,13 +76,13 @@
         record_stream_failure(forwarder, &mut context, &stream, &error);
         // A failed stream is closed before it is resumed, so that the first engine stops working on
         // it. A stream that only timed out stays open as a fallback in case no other engine can
-        // resume it.
-        let stalled_stream = (error == EndpointError::Timeout).then_some(stream);
+        // resume it, until another one works on the request.
+        let mut stalled_stream = (error == EndpointError::Timeout).then_some(stream);
         if stalled_stream.is_none() && !context.may_run_again() {
             context.log.set_outcome("broken_off");
             return Err(BrokenStream);
         }
-        let resumed = resume(forwarder, &mut context, &progress, events).await;
+        let resumed = resume(forwarder, &mut context, &progress, &mut stalled_stream, events).await;
         let resumed = resumed.filter(|resumed| {
             let is_same_type = resumed.head.headers.get(CONTENT_TYPE) == content_type.as_ref();
             if !is_same_type {
@@ -125,10 +125,11 @@
     forwarder: &Forwarder<K, D, C>,
     context: &mut RequestContext<C>,
     progress: &EventSplitter,
+    stalled_stream: &mut Option<OpenStream>,
     events: &Events,
 ) -> Option<OpenStream> {
     let opened = tokio::select! {
-        opened = forwarder.open_stream(context, progress) => opened,
+        opened = forwarder.open_stream(context, progress, stalled_stream) => opened,
         () = events.closed() => return None,
     };
     match opened {
