Let an entry of an unnamed service replace no endpoint at its address

Cause: remove_predecessor took a sound endpoint out of use when an entry of a service that no configuration names had its address and a later start.

Change: the balancer knows the services that the configuration names. An entry of another service replaces nothing until its service is named; no service is named before a configuration is known.

Without it an_entry_of_an_unnamed_service_replaces_no_endpoint fails by reading; it was not run against the code before. It and an_entry_of_another_named_service_replaces_the_previous_one_at_its_address pass (node_decisions balance).

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -24,6 +24,8 @@
     /// Endpoints by the key that identifies them in messages between instances.
     pub(super) by_key: HashMap<u32, EndpointId>,
     pub(super) by_service: HashMap<ServiceId, Vec<EndpointId>>,
+    /// Services that the configuration names; `None` if all are taken to be named.
+    pub(super) named_services: Option<HashSet<ServiceId>>,
     pub(super) zones_out_of_service: HashSet<ZoneId>,
     pub(super) reported: HashMap<LoadSource, Vec<PeerLoad>>,
     /// Arrival times of the newest reports of zones.
@@ -49,6 +51,7 @@
             endpoints: HashMap::new(),
             by_key: HashMap::new(),
             by_service: HashMap::new(),
+            named_services: None,
             zones_out_of_service: HashSet::new(),
             reported: HashMap::new(),
             zone_reports: HashMap::new(),
@@ -73,6 +76,27 @@
         self.instances
     }
 
+    /// Sets the services that the configuration names. An endpoint of another service may claim the
+    /// address of one that is in use, so it replaces that one only when its service is named.
+    pub fn set_named_services(&mut self, named: HashSet<ServiceId>) {
+        let endpoints = self.endpoints.values().map(|state| &state.endpoint);
+        let newly_named = endpoints.filter(|endpoint| {
+            !self.is_named(&endpoint.service) && named.contains(&endpoint.service)
+        });
+        let mut newly_named: Vec<Rc<Endpoint>> = newly_named.cloned().collect();
+        newly_named.sort_by_key(|endpoint| std::cmp::Reverse(endpoint.started_unix_ms));
+        self.named_services = Some(named);
+        for endpoint in newly_named {
+            if self.endpoints.contains_key(&endpoint.id) {
+                self.remove_predecessor(&endpoint);
+            }
+        }
+    }
+
+    fn is_named(&self, service: &ServiceId) -> bool {
+        self.named_services.as_ref().is_none_or(|named| named.contains(service))
+    }
+
     pub fn set_zones_out_of_service(&mut self, zones: HashSet<ZoneId>) {
         self.zones_out_of_service = zones;
     }
@@ -115,8 +139,12 @@
     /// Removes the endpoint that used the address before. Its entry expires only some seconds
     /// later.
     fn remove_predecessor(&mut self, endpoint: &Endpoint) {
+        if !self.is_named(&endpoint.service) {
+            return;
+        }
         let predecessors = self.endpoints.values().filter(|state| {
             state.endpoint.address == endpoint.address
+                && state.endpoint.id != endpoint.id
                 && state.endpoint.started_unix_ms <= endpoint.started_unix_ms
         });
         let predecessors: Vec<EndpointId> =
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
@@ -54,7 +55,10 @@
         let (sender, changes) = mpsc::unbounded_channel();
         let store = Rc::new(adapter.store());
         let catalog = Rc::new(Catalog::new(adapter.decoder(), clock.clone()));
-        let balancer = Rc::new(RefCell::new(Balancer::new(settings.zone.clone())));
+        let mut balancer = Balancer::new(settings.zone.clone());
+        // No service is named until a configuration is known.
+        balancer.set_named_services(HashSet::new());
+        let balancer = Rc::new(RefCell::new(balancer));
         let rate_window_ms = (settings.rate_window_s * 1000.0) as u64;
         let quotas = Quotas::new(rate_window_ms, !settings.is_first_start);
         let quotas = Rc::new(RefCell::new(quotas));
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -43,6 +43,7 @@
     let mut balancer = node.balancer.borrow_mut();
     balancer.set_zones_out_of_service(node.catalog.zones_out_of_service());
     let Some(configuration) = node.catalog.configuration() else { return };
+    balancer.set_named_services(configuration.services().map(|s| s.id.clone()).collect());
     for service in configuration.services() {
         balancer.set_cold_rate(service.id.clone(), service.cold_requests_per_s);
     }
--- a/tests/node/balance.rs
+++ b/tests/node/balance.rs
@@ -4,7 +4,7 @@
 
 use almondroad::balance::{AvoidReport, Balancer, Load, PeerLoad, PlacementError};
 use almondroad::catalog::{EndpointChange, EndpointRole};
-use almondroad::units::{EndpointId, ZoneId};
+use almondroad::units::{EndpointId, ServiceId, ZoneId};
 
 use super::support::{at, balancer, decode, endpoint, prefill, service};
 
@@ -118,6 +118,57 @@
     assert_eq!(placement.endpoint.id.as_str(), "d9");
 }
 
+/// Guards against a sound endpoint that gets no more requests because an entry of a service that the
+/// configuration does not name claims its address, before or after the configuration is known.
+#[test]
+fn an_entry_of_an_unnamed_service_replaces_no_endpoint() {
+    for is_configured_first in [true, false] {
+        let sound = endpoint("d1", "a", DECODE);
+        let mut claim = endpoint("d9", "a", None);
+        claim.service = ServiceId::new("unnamed");
+        claim.address = sound.address;
+        claim.started_unix_ms = Some(2);
+        let mut balancer = balancer(&[]);
+        balancer.set_named_services(HashSet::new());
+        let named = HashSet::from([service()]);
+        if is_configured_first {
+            balancer.set_named_services(named.clone());
+        }
+        for endpoint in [sound, claim] {
+            balancer.apply(&EndpointChange::Set(Rc::new(endpoint)));
+        }
+        balancer.set_named_services(named);
+        let chosen = balancer.choose_decode(&decode(&service(), 100), at(0));
+        assert_eq!(chosen.unwrap().endpoint.id.as_str(), "d1");
+    }
+}
+
+/// Guards against requests to an endpoint that has exited, whose address an endpoint of another
+/// service uses now, also if the configuration names that service only later.
+#[test]
+fn an_entry_of_another_named_service_replaces_the_previous_one_at_its_address() {
+    for is_named_later in [false, true] {
+        let other = ServiceId::new("other");
+        let former = endpoint("d1", "a", DECODE);
+        let mut successor = endpoint("d9", "a", DECODE);
+        successor.service = other.clone();
+        successor.address = former.address;
+        successor.started_unix_ms = Some(2);
+        let mut balancer = balancer(&[]);
+        balancer.set_named_services(HashSet::from([service()]));
+        if !is_named_later {
+            balancer.set_named_services(HashSet::from([service(), other.clone()]));
+        }
+        for endpoint in [former, successor] {
+            balancer.apply(&EndpointChange::Set(Rc::new(endpoint)));
+        }
+        balancer.set_named_services(HashSet::from([service(), other.clone()]));
+        assert!(balancer.choose_decode(&decode(&service(), 100), at(0)).is_err());
+        let chosen = balancer.choose_decode(&decode(&other, 100), at(0));
+        assert_eq!(chosen.unwrap().endpoint.id.as_str(), "d9");
+    }
+}
+
 /// Guards against an outdated entry that arrives after the entry of the new process at the same
 /// address.
 #[test]
