Count crashes of a request by moments, in one table with the parts of prompts

Cause: CrashCounts counted endpoints, so that three that a rack's loss ended at one moment had a look-up refused; CrashingParts counted moments and let an answer that had begun excuse them.

Change: both keep their records in EndTable, with the key as its parameter. Requests are refused after endpoints have ended at three moments (100 ms apart), and an answer that has begun, plain or streamed, excuses the ends before it.

--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -5,6 +5,7 @@
 mod crash_reports;
 mod crashing_parts;
 mod end_record;
+mod end_table;
 mod endpoint_end;
 mod part_key;
 mod part_report;
@@ -13,6 +14,7 @@
 pub use crash_reports::CrashReports;
 pub use crashing_parts::CrashingParts;
 pub use end_record::EndRecord;
+pub use end_table::{EndTable, EndTableLimits};
 pub use endpoint_end::EndpointEnd;
 pub use part_key::PartKey;
 pub use part_report::{EndReport, PartReport};
--- a/src/forward/crash_check.rs
+++ b/src/forward/crash_check.rs
@@ -35,10 +35,15 @@
 
     /// Records that an endpoint has begun the answer to a request.
     pub(super) fn record_begun(&self, context: &RequestContext<C>) {
+        let now = self.parts.clock.now();
+        let mut crashes = self.parts.crashes.borrow_mut();
+        if !crashes.is_empty() {
+            crashes.record_begun(CrashCounts::fingerprint(&context.request), now);
+        }
         let mut crashing_parts = self.parts.crashing_parts.borrow_mut();
         if !crashing_parts.is_empty() {
             let parts = part_keys(&context.service.id, &context.request);
-            crashing_parts.record_begun(parts, self.parts.clock.now());
+            crashing_parts.record_begun(parts, now);
         }
     }
 
--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -104,6 +104,9 @@
         context.log.record_send("run", placement.endpoint.id.as_str(), &code);
         if let Ok(answer) = &result {
             context.log.record_first_response();
+            if answer.status().is_success() {
+                self.record_begun(context);
+            }
             let mut balancer = self.parts.balancer.borrow_mut();
             if let Some(state) = balancer.endpoint_mut(&placement.endpoint.id) {
                 state.record_unit_time(now_after.ms_since(now) as f64);
