Admit generations by rank while there is too little room

Change: a request has a rank where the configuration's priorities differ. Engines get it as Request-Priority, queues place by it, and organisations of one rank share by their rates. Instances report in their statuses how much each rank offers, admits, refuses and has waiting. A less urgent request fills engines up to the limit less what more urgent ranks are expected to send within two seconds; late requests yield to all that can be in time. The estimated wait counts only requests that are placed before. Refused callers return by rank over the time in which room comes free, at most a third of their remaining time. Metrics and a log line tell the figures of each rank.

Tests: tests/node/contention.rs and contention_fleet.rs.

--- a/src/catalog/service_configuration.rs
+++ b/src/catalog/service_configuration.rs
@@ -15,6 +15,9 @@
     services: HashMap<ServiceId, Rc<Service>>,
     customers: Vec<Rc<Customer>>,
     keys: HashMap<SmolStr, Rc<Customer>>,
+    /// Priority of the first route, and whether a route or an organisation has another.
+    route_priority: Option<u8>,
+    has_ranks: bool,
 }
 
 impl ServiceConfiguration {
@@ -23,6 +26,7 @@
     }
 
     pub fn add_route(&mut self, route: Route) {
+        self.has_ranks |= *self.route_priority.get_or_insert(route.priority) != route.priority;
         let paths = self.hosts.entry(route.host.clone()).or_default();
         paths.insert(route.path_prefix.clone(), Rc::new(route));
     }
@@ -32,6 +36,7 @@
     }
 
     pub fn add_customer(&mut self, customer: Customer, keys: impl IntoIterator<Item = SmolStr>) {
+        self.has_ranks |= customer.priority.is_some();
         let customer = Rc::new(customer);
         self.keys.extend(keys.into_iter().map(|key| (key, Rc::clone(&customer))));
         self.customers.push(customer);
@@ -57,6 +62,11 @@
         &self.customers
     }
 
+    /// Whether requests differ in priority.
+    pub fn has_ranks(&self) -> bool {
+        self.has_ranks
+    }
+
     /// Whether routes that are not public require an API key.
     pub fn requires_keys(&self) -> bool {
         !self.customers.is_empty()
--- a/src/fleet/status_extension.rs
+++ b/src/fleet/status_extension.rs
@@ -1,11 +1,13 @@
 use serde::{Deserialize, Serialize};
 
+use crate::admission::ServiceReport;
+
 /// What newer parts of an instance tell their peers. Each field is empty unless a deployment's
 /// configuration or settings call for the part.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusExtension {
-    /// Requests that wait for room, by class.
-    pub waiting: Vec<u8>,
+    /// Demand of the sender's callers by rank: what waits, arrives, is admitted and refused.
+    pub waiting: Vec<ServiceReport>,
     /// Speeds of endpoints.
     pub speeds: Vec<u8>,
     /// Answers of the versions of services that are rolled out.
--- a/src/forward/admit.rs
+++ b/src/forward/admit.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Incoming};
 use rand::Rng;
 
+use crate::admission::Rank;
 use crate::balance::SendCount;
 use crate::catalog::{Customer, Route, RowDecoder, Service, ServiceConfiguration};
 use crate::clock::Clock;
@@ -22,6 +23,7 @@
     route: Rc<Route>,
     service: Rc<Service>,
     customer: Option<Rc<Customer>>,
+    rank: Option<Rank>,
     charge: QuotaCharge,
 }
 
@@ -51,7 +53,9 @@
         }
         self.refuse_crashing(&service.id, request)?;
         let charge = self.charge(customer.as_deref(), request)?;
-        Ok(Admitted { route, service, customer, charge })
+        let priority = customer.as_ref().and_then(|customer| customer.priority);
+        let rank = configuration.has_ranks().then(|| Rank::new(route.priority, priority));
+        Ok(Admitted { route, service, customer, rank, charge })
     }
 
     pub(super) fn context(
@@ -60,7 +64,7 @@
         admitted: Admitted,
         log: RequestLog<C>,
     ) -> RequestContext<C> {
-        let Admitted { route, service, customer, charge } = admitted;
+        let Admitted { route, service, customer, rank, charge } = admitted;
         let wait_ms = request.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let deadline = log.started_at.plus_ms(wait_ms);
         let now = self.parts.clock.now();
@@ -71,6 +75,7 @@
             route,
             service,
             customer,
+            rank,
             deadline,
             charge,
             log,
--- a/src/forward/decode.rs
+++ b/src/forward/decode.rs
@@ -96,6 +96,7 @@
         let outgoing = EndpointRequest {
             request: &context.request,
             organisation: context.organisation(),
+            rank: context.rank,
             endpoint: &placement.endpoint,
             stage,
             last_event: progress.last_event(),
--- a/src/forward/endpoint_request.rs
+++ b/src/forward/endpoint_request.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::admission::Rank;
 use crate::catalog::Endpoint;
 use crate::clock::Instant;
 use crate::forward::CallerRequest;
@@ -30,6 +31,8 @@
 pub struct EndpointRequest<'a> {
     pub request: &'a CallerRequest,
     pub organisation: Option<&'a OrganisationId>,
+    /// `None` if all requests have the same priority, and for services without engines.
+    pub rank: Option<Rank>,
     pub endpoint: &'a Endpoint,
     pub stage: Stage,
     /// Id of the memory reservation for the request.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Response};
 use smol_str::ToSmolStr;
 
+use crate::admission::DemandBoard;
 use crate::balance::{Balancer, RetryLimits, RetryWindow, WaitQueue};
 use crate::catalog::{Catalog, RouteKind, RowDecoder};
 use crate::clock::{Clock, Instant};
@@ -41,6 +42,7 @@
     pub(super) retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
     /// Queues of generations that wait for an engine, by service.
     wait_queues: RefCell<HashMap<ServiceId, WaitQueue>>,
+    pub(super) demand: RefCell<DemandBoard>,
     /// Whether requests that arrive now could outlast the instance and are refused.
     pub(super) is_closed: Cell<bool>,
     labels: Rc<RequestLabels>,
@@ -56,6 +58,7 @@
             parts,
             retry_windows: RefCell::default(),
             wait_queues: RefCell::default(),
+            demand: RefCell::default(),
             is_closed: Cell::new(false),
             labels: Rc::default(),
         })
--- a/src/forward/generate.rs
+++ b/src/forward/generate.rs
@@ -24,7 +24,14 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let last_event = context.request.generation.as_ref().and_then(|size| size.last_event);
         let splitter = EventSplitter::after(last_event);
-        match self.open_stream(&mut context, &splitter).await {
+        self.record_offered(&context);
+        let opened = self.open_stream(&mut context, &splitter).await;
+        match &opened {
+            Ok(_) => self.record_admission(&context, true),
+            Err(Refusal::NoCapacity { .. }) => self.record_admission(&context, false),
+            Err(_) => {}
+        }
+        match opened {
             Err(refusal) => {
                 context.log.set_outcome(refusal.code());
                 Err(refusal)
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //! selects an endpoint and returns its response. Bodies are opaque; a `Codec` reads and writes the
 //! message heads.
 
+mod admission_log;
 mod admit;
 mod caller_request;
 mod codec;
--- a/src/forward/placement.rs
+++ b/src/forward/placement.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::balance::PlacementError;
+use crate::admission::{FillQuery, fill_limit};
+use crate::balance::{PlacementError, WaitingRequest};
 use crate::catalog::RowDecoder;
-use crate::clock::Clock;
+use crate::clock::{Clock, Instant};
+use crate::forward::admission_log::RefusalReason;
 use crate::forward::plan::Plan;
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, Forwarder, Refusal};
@@ -43,20 +45,31 @@
             arrived_at.plus_ms(MAX_QUEUE_MS)
         };
         let queue_until = queue_until.min(context.deadline);
-        if source_zone.is_none() && wait_queue.expected_wait_ms(now) > queue_until.ms_since(now) {
+        let rank = context.rank.unwrap_or_default();
+        let expected_wait_ms = wait_queue.expected_wait_ms(rank, now);
+        if source_zone.is_none() && expected_wait_ms > queue_until.ms_since(now) {
+            self.record_refusal(context, RefusalReason::Infeasible, expected_wait_ms);
             return Err(self.capacity_refusal(context));
         }
         let target_ms = context.route.target_latency_ms.saturating_sub(TYPICAL_FIRST_EVENT_MS);
         let due_at = arrived_at.plus_ms(target_ms);
-        let ticket = wait_queue.enqueue(due_at, context.queue_penalty_ms(), now);
+        let waiting = WaitingRequest {
+            rank,
+            organisation: context.share(),
+            memory_tokens: context.memory_estimate().expected_tokens,
+            due_at,
+            size_penalty_ms: context.queue_penalty_ms(),
+        };
+        let ticket = wait_queue.enqueue(&waiting, now);
         loop {
             let now = self.parts.clock.now();
             if ticket.is_next(now) || source_zone.is_some() {
-                let fill_fraction = if now > due_at { LATE_FILL_FRACTION } else { FILL_FRACTION };
+                let fill_fraction = self.fill_fraction(context, now > due_at, now);
                 match self.plan(context, source_zone, fill_fraction, now) {
                     Ok(plan) => {
                         if let Some(plan) = self.reserve_plan(context, plan).await {
-                            wait_queue.record_placement(now);
+                            ticket.record_placement(now);
+                            self.record_wait(context, now);
                             return Ok(plan);
                         }
                         continue;
@@ -70,6 +83,8 @@
                 }
             }
             if now >= queue_until {
+                let expected_wait_ms = wait_queue.expected_wait_ms(rank, now);
+                self.record_refusal(context, RefusalReason::Full, expected_wait_ms);
                 return Err(self.capacity_refusal(context));
             }
             let pause = Duration::from_millis(QUEUE_POLL_MS);
@@ -79,6 +94,19 @@
         }
     }
 
+    /// Returns the fraction of an engine's memory up to which the request may be placed.
+    fn fill_fraction(&self, context: &RequestContext<C>, is_late: bool, now: Instant) -> f64 {
+        let max_fill = if is_late { LATE_FILL_FRACTION } else { FILL_FRACTION };
+        let (Some(rank), Some(engine)) = (context.rank, context.service.engine) else {
+            return max_fill;
+        };
+        let service = &context.service.id;
+        let balancer = self.parts.balancer.borrow();
+        let pool_tokens = balancer.decode_memory_tokens(service, engine, now);
+        let demand = self.demand.borrow().service_demand(service, now);
+        fill_limit(&FillQuery { rank, is_late, max_fill, pool_tokens }, &demand)
+    }
+
     /// Reserves the plan's memory at its decode engine; `None` if that fails.
     async fn reserve_plan(
         &self,
--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -141,6 +141,7 @@
         let outgoing = EndpointRequest {
             request: &context.request,
             organisation: context.organisation(),
+            rank: None,
             endpoint: &placement.endpoint,
             stage: Stage::Whole,
             last_event: None,
--- a/src/forward/prefill.rs
+++ b/src/forward/prefill.rs
@@ -93,6 +93,7 @@
         let outgoing = EndpointRequest {
             request: &context.request,
             organisation: context.organisation(),
+            rank: context.rank,
             endpoint: &placement.endpoint,
             stage: Stage::Prefill,
             last_event: None,
--- a/src/forward/refuse.rs
+++ b/src/forward/refuse.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use crate::admission::{Rank, return_delay_ms};
 use crate::balance::PlacementError;
 use crate::catalog::{RouteKind, RowDecoder};
 use crate::clock::{Clock, Instant};
@@ -16,6 +17,8 @@
 /// because every generation occupies its memory for seconds.
 const MIN_GENERATION_RETRY_AFTER_MS: u64 = 2_000;
 const GENERATION_RETRY_AFTER_SPREAD_MS: u64 = 2_500;
+/// Callers follow a `Retry-After` up to this part of the time that they have left.
+const FOLLOWED_PART_OF_DEADLINE: u64 = 3;
 
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     /// Returns the refusal of a request that has not run while all endpoints want no requests:
@@ -57,6 +60,25 @@
 
     /// Returns the refusal for a request that no endpoint can accept.
     pub(super) fn capacity_refusal(&self, context: &RequestContext<C>) -> Refusal {
-        if context.runs > 0 { Refusal::ResponseLost } else { self.no_capacity(context.route.kind) }
+        if context.runs > 0 {
+            return Refusal::ResponseLost;
+        }
+        match context.rank {
+            Some(rank) if context.request.generation.is_some() => {
+                self.ranked_refusal(context, rank)
+            }
+            _ => self.no_capacity(context.route.kind),
+        }
+    }
+
+    /// Returns the refusal of a generation: callers return by rank as room comes free.
+    fn ranked_refusal(&self, context: &RequestContext<C>, rank: Rank) -> Refusal {
+        let now = self.parts.clock.now();
+        let demand = self.demand.borrow().service_demand(&context.service.id, now);
+        let usual_ms = (MIN_GENERATION_RETRY_AFTER_MS, GENERATION_RETRY_AFTER_SPREAD_MS);
+        let max_ms = context.deadline.ms_since(now) / FOLLOWED_PART_OF_DEADLINE;
+        let sample = rand::rng().random_range(0.0..1.0);
+        let retry_after_ms = return_delay_ms(rank, &demand, usual_ms, max_ms, sample);
+        Refusal::NoCapacity { retry_after_ms }
     }
 }
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use crate::admission::Rank;
 use crate::balance::{Balancer, Load, MemoryEstimate, SendCount};
 use crate::catalog::{Customer, Route, Service};
 use crate::clock::{Clock, Instant};
@@ -19,6 +20,8 @@
     pub route: Rc<Route>,
     pub service: Rc<Service>,
     pub customer: Option<Rc<Customer>>,
+    /// `None` if all requests have the same priority.
+    pub rank: Option<Rank>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
     pub charge: QuotaCharge,
@@ -36,6 +39,14 @@
         self.customer.as_ref().map(|customer| &customer.organisation)
     }
 
+    /// Returns the organisation that shares the room with others of its rank, and its rate; `None`
+    /// if all requests have the same priority.
+    pub fn share(&self) -> Option<(&OrganisationId, Option<u64>)> {
+        self.rank?;
+        let customer = self.customer.as_ref()?;
+        Some((&customer.organisation, customer.rate.map(|rate| rate.get())))
+    }
+
     /// Returns whether the request may be sent to another endpoint if the current one fails.
     pub fn may_run_elsewhere(&self) -> bool {
         self.route.kind.is_retryable() && self.runs + 1 < self.route.max_endpoints
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A request router for model inference with separate prefill and decode pools. See
 //! `docs/design.md` for the design.
 
+pub mod admission;
 pub mod balance;
 pub mod bench;
 pub mod budget;
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -180,7 +180,10 @@
                 parts: self.crashing_parts.borrow().reports(now),
                 requests: self.crashes.borrow().reports(now),
             },
-            extension: StatusExtension::default(),
+            extension: StatusExtension {
+                waiting: self.forwarder.demand_reports(now),
+                ..StatusExtension::default()
+            },
         }
     }
 
@@ -211,6 +214,7 @@
             update.is_new_run,
             now,
         );
+        self.forwarder.record_peer_demand(IpAddr::V4(from), status.extension.waiting, now);
         let mut crashes = self.crashes.borrow_mut();
         if status.crash_reports.requests.is_empty() {
             crashes.merge_counts(&status.crashes, now);
@@ -267,5 +271,6 @@
             live = self.members.borrow().live_count(); "peer lost");
         self.balancer.borrow_mut().remove_peer(IpAddr::V4(peer), self.clock.now());
         self.quotas.borrow_mut().remove_peer(IpAddr::V4(peer));
+        self.forwarder.remove_peer_demand(IpAddr::V4(peer));
     }
 }
--- a/tests/node/crashing_parts.rs
+++ b/tests/node/crashing_parts.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts under which endpoints end.
 
+use almondroad::admission::{ClassReport, Rank, ServiceReport};
 use almondroad::balance::IncarnationKey;
 use almondroad::clock::Instant;
 use almondroad::crashes::{CrashReports, CrashingParts, PartKey};
@@ -242,11 +243,18 @@
     assert_eq!(Status::decode(&before).unwrap(), status(1, 1));
 }
 
+fn service_report() -> ServiceReport {
+    let class =
+        ClassReport { rank: Rank::new(1, None), waiting_tokens: 3_800, ..ClassReport::default() };
+    ServiceReport { service: service(), classes: vec![class] }
+}
+
 /// Guards against an extension that instances of an earlier version take for crash reports, or that
 /// is lost while there are none.
 #[test]
 fn the_extension_follows_the_crash_reports() {
-    let extension = StatusExtension { waiting: vec![1, 2], ..StatusExtension::default() };
+    let extension =
+        StatusExtension { waiting: vec![service_report()], ..StatusExtension::default() };
     let extended = Status { extension, ..status(1, 1) };
     let encoded = extended.encode().unwrap();
     assert!(encoded.starts_with(&status(1, 1).encode().unwrap()));
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -5,6 +5,8 @@
     mod balance;
     mod catalog;
     mod cold_turns;
+    mod contention;
+    mod contention_fleet;
     mod crashes;
     mod crashing_parts;
     mod endpoint_notices;
