Refuse as stale while a gateway that has just started knows no routes

The experiment now prints the refusals: each was 404 unknown_route, 150 to 260 ms after a gateway had been killed and replaced. A gateway that has not read its configuration knows no routes. It has nothing to do with how connections close: the experiment stops no process gracefully.

Change: while the configuration is not confirmed a path without a route is answered 503 stale_configuration, as a key that is not known already was. The experiment prints refused look-ups and the injected faults with their times.

--- a/src/bench/experiments/reorder.rs
+++ b/src/bench/experiments/reorder.rs
@@ -69,7 +69,7 @@
     let random = StdRng::seed_from_u64(options.seed ^ 0xfa11);
     callers.spawn_local(Rc::clone(&shared).look_up_until_end(random));
     let random = StdRng::seed_from_u64(options.seed ^ 0xc4a0);
-    inject_faults(&mut fleet, &shared, random).await?;
+    inject_faults(&mut fleet, &shared, random, report).await?;
     while callers.join_next().await.is_some() {}
     sleep(LATE_EFFECT_WAIT).await;
     let observed = shared.observed.take();
@@ -97,7 +97,8 @@
     other_answers: Vec<String>,
     accepted_other_bodies: u64,
     lookups: u64,
-    refused_lookups: u64,
+    /// Codes of refused look-ups with the times at which the answers came.
+    refused_lookups: Vec<String>,
 }
 
 impl SharedState {
@@ -110,6 +111,11 @@
         Instant::now() >= self.end
     }
 
+    /// Time to the end of the load, for matching a refusal with the injected faults.
+    fn time_left(&self) -> String {
+        format!("{} ms before the end", (self.end - Instant::now()).as_millis())
+    }
+
     async fn order_until_end(self: Rc<SharedState>, mut random: StdRng) {
         while !self.is_over() && self.next_call.get() < MAX_CALLS {
             self.next_call.set(self.next_call.get() + 1);
@@ -133,7 +139,7 @@
                 }
                 ServiceAnswer::NotRun { .. } if gives_up => break,
                 ServiceAnswer::NotRun { .. } => {}
-                ServiceAnswer::Unknown => {
+                ServiceAnswer::Unknown { .. } => {
                     may_have_run = true;
                     unknown += 1;
                 }
@@ -161,7 +167,7 @@
         }
         let other = self.call(effect, json!({ "order": effect, "lot": 8 }));
         match other.send(&self.address(random)).await {
-            ServiceAnswer::Answered { .. } | ServiceAnswer::Unknown => {
+            ServiceAnswer::Answered { .. } | ServiceAnswer::Unknown { .. } => {
                 self.observed.borrow_mut().accepted_other_bodies += 1;
             }
             ServiceAnswer::NotRun { .. } | ServiceAnswer::NoAnswer => {}
@@ -201,7 +207,14 @@
             // A gateway that was just replaced has not confirmed its configuration yet.
             ServiceAnswer::NotRun { code } if code == "stale_configuration" => {}
             ServiceAnswer::Answered { .. } => observed.lookups += 1,
-            ServiceAnswer::NotRun { .. } | ServiceAnswer::Unknown => observed.refused_lookups += 1,
+            ServiceAnswer::NotRun { code } => {
+                let refusal = format!("not_run, {code}, {}", self.time_left());
+                observed.refused_lookups.push(refusal);
+            }
+            ServiceAnswer::Unknown { status, code } => {
+                let refusal = format!("{status}, {code}, {}", self.time_left());
+                observed.refused_lookups.push(refusal);
+            }
         }
     }
 }
@@ -211,9 +224,11 @@
     fleet: &mut Fleet,
     shared: &SharedState,
     mut random: StdRng,
+    report: &Report,
 ) -> Result<(), BenchError> {
     let mut kind = 0;
     while !shared.is_over() {
+        report.progress(&format!("fault {}, {}", kind % 5, shared.time_left()));
         let index = random.random_range(0..3);
         let side = if random.random() { FaultPoint::BeforeEffect } else { FaultPoint::AfterEffect };
         match kind % 5 {
@@ -306,7 +321,10 @@
     report.bounded("other answers to repeats", observed.other_answers.len() as f64, "calls", none);
     report.bounded("other bodies accepted", observed.accepted_other_bodies as f64, "calls", none);
     report.value(PRODUCT, "look-ups", observed.lookups as f64, "calls");
-    report.bounded("look-ups refused", observed.refused_lookups as f64, "calls", none);
+    for refusal in &observed.refused_lookups {
+        report.progress(&format!("refused look-up: {refusal}"));
+    }
+    report.bounded("look-ups refused", observed.refused_lookups.len() as f64, "calls", none);
 }
 
 async fn report_keys(fleet: &Fleet, report: &mut Report) {
--- a/src/bench/experiments/service_call.rs
+++ b/src/bench/experiments/service_call.rs
@@ -30,7 +30,10 @@
         code: SmolStr,
     },
     /// An error response after which the call may have run.
-    Unknown,
+    Unknown {
+        status: u16,
+        code: SmolStr,
+    },
     /// The connection failed or there was no response in time.
     NoAnswer,
 }
@@ -55,17 +58,17 @@
             headers.insert(IDEMPOTENCY_HEADER, key);
         }
         let response = client.send(request, ANSWER_TIMEOUT).await?;
-        let is_success = response.status().is_success();
+        let status = response.status();
         let outcome = response.headers().get(OUTCOME_HEADER).cloned();
         let body = client.read_any_body(response).await?;
-        if is_success {
+        if status.is_success() {
             return Ok(ServiceAnswer::Answered { body: String::from_utf8_lossy(&body).into() });
         }
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let code = body["error"]["code"].as_str().unwrap_or_default().into();
         if outcome.is_some_and(|outcome| outcome == "not_run") {
-            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-            let code = body["error"]["code"].as_str().unwrap_or_default().into();
             return Ok(ServiceAnswer::NotRun { code });
         }
-        Ok(ServiceAnswer::Unknown)
+        Ok(ServiceAnswer::Unknown { status: status.as_u16(), code })
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -60,6 +60,10 @@
         let path = request.uri().path().to_owned();
         let current = self.node.configuration.current();
         let Some(route) = find_route(&current.document.routes, &path) else {
+            // An instance that has just started knows no routes yet.
+            if !self.node.configuration.is_confirmed() {
+                return Err(ServeError::StaleConfiguration);
+            }
             return Err(ServeError::UnknownRoute { path: path.into() });
         };
         let key = ApiKey::find(request.headers(), request.uri());
