--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,7 +14,7 @@
 mod tasks;
 
 pub use node_error::NodeError;
-pub use node_settings::{NodeSettings, RetrySettings};
+pub use node_settings::{MachineLimits, NodeSettings, RetrySettings};
 pub use node_state::NodeState;
 pub use platform_adapter::PlatformAdapter;
 pub use run::run_node;
--- a/src/node/node_settings.rs
+++ b/src/node/node_settings.rs
@@ -41,6 +41,25 @@
     /// Time after one instance's orders to engines during which no other instance gives any.
     #[serde(default = "default_order_turn_ms")]
     pub order_turn_ms: u64,
+    #[serde(default)]
+    pub machine: MachineLimits,
+}
+
+/// Limits of the machine, above which the platform ends the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MachineLimits {
+    pub memory_mb: u64,
+    /// Maximum number of open file descriptors, including those that the platform reserves for
+    /// files.
+    pub max_descriptors: u64,
+}
+
+impl Default for MachineLimits {
+    /// Limits of a machine whose settings name none.
+    fn default() -> MachineLimits {
+        MachineLimits { memory_mb: 256, max_descriptors: 4_096 }
+    }
 }
 
 /// Limit on retries of requests, per service and for all instances together.
