Bound what an instance holds for clients

Change: MemoryAccount charges connections and request bodies within parts of the machine's memory and descriptors. When it is exhausted it sheds the largest clients without a request in progress, among equal ones the least recently active. A body is copied into one buffer as it arrives and refused with 503 `overloaded`, not run, if there is no memory.

tests/node/memory_account.rs covers the decisions without a network.

--- a/src/forward/admit.rs
+++ b/src/forward/admit.rs
@@ -1,17 +1,15 @@
 //! Admission of callers' requests: route, key, body and rate.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use rand::Rng;
 
 use crate::balance::SendCount;
 use crate::catalog::{Customer, Route, RowDecoder, Service, ServiceConfiguration};
 use crate::clock::Clock;
 use crate::forward::refuse::MIN_RETRY_AFTER_MS;
+use crate::forward::request_body::read_body;
 use crate::forward::request_context::{QuotaCharge, RequestContext};
 use crate::forward::request_log::RequestLog;
 use crate::forward::{CallerRequest, Codec, Forwarder, Refusal};
@@ -45,7 +43,7 @@
         let service = service.and_then(|id| configuration.service(id));
         let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
         let limits = configuration.limits();
-        request.body = read_body(body, limits.body_limit_bytes, limits.receive_timeout_ms).await?;
+        request.body = read_body(body, &limits, &self.parts.bodies).await?;
         if self.is_closed.get() {
             return Err(Refusal::Leaving);
         }
@@ -129,17 +127,3 @@
         None => Err(Refusal::UnknownKey),
     }
 }
-
-/// Reads a request body of at most `max_bytes` that arrives within `limit_ms`.
-async fn read_body(body: Incoming, max_bytes: usize, limit_ms: u64) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(Duration::from_millis(limit_ms), read).await {
-        Err(_) => Err(Refusal::Malformed { reason: "the body did not arrive in time" }),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed { reason: "the body is broken off" }),
-    }
-}
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -16,7 +16,7 @@
 use crate::forward::end_detector::EndDetector;
 use crate::forward::request_log::RequestLog;
 use crate::forward::{Codec, CrashCounts, EndpointClient, Refusal, RequestLabels};
-use crate::http::{Handler, ResponseBody};
+use crate::http::{Handler, MemoryAccount, ResponseBody};
 use crate::quota::Quotas;
 use crate::units::ServiceId;
 
@@ -29,6 +29,8 @@
     pub crashes: Rc<RefCell<CrashCounts>>,
     pub crashing_parts: Rc<RefCell<CrashingParts>>,
     pub retry_limits: RetryLimits,
+    /// Account of the memory of callers' request bodies.
+    pub bodies: MemoryAccount,
     /// Time from which on this instance uses its part of the retries that do not depend on the
     /// number of requests.
     pub extra_retries_from: Instant,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -28,6 +28,7 @@
 mod refusal;
 mod refuse;
 mod release_guard;
+mod request_body;
 mod request_context;
 mod request_log;
 mod responses;
--- a/src/forward/refusal.rs
+++ b/src/forward/refusal.rs
@@ -26,6 +26,8 @@
     CrashesEndpoints { retry_after_ms: u64 },
     #[display("the time for the request has passed; it has not run")]
     ExpiredBeforeRun,
+    #[display("this instance has no memory for the request now")]
+    Overloaded { retry_after_ms: u64 },
     /// The request may or may not have run.
     #[display("the endpoint's answer was lost")]
     ResponseLost,
@@ -49,6 +51,7 @@
             | Refusal::NoCapacity { .. }
             | Refusal::CrashesEndpoints { .. }
             | Refusal::Leaving
+            | Refusal::Overloaded { .. }
             | Refusal::ExpiredBeforeRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::ResponseLost | Refusal::Stopped => StatusCode::BAD_GATEWAY,
             Refusal::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -67,6 +70,7 @@
             Refusal::NoCapacity { .. } => "no_capacity",
             Refusal::CrashesEndpoints { .. } => "crashes_endpoints",
             Refusal::ExpiredBeforeRun => "expired_before_run",
+            Refusal::Overloaded { .. } => "overloaded",
             Refusal::ResponseLost => "answer_lost",
             Refusal::Timeout => "timeout",
             Refusal::Leaving => "leaving",
@@ -78,7 +82,8 @@
         match self {
             Refusal::OverQuota { retry_after_ms }
             | Refusal::NoCapacity { retry_after_ms }
-            | Refusal::CrashesEndpoints { retry_after_ms } => Some(*retry_after_ms),
+            | Refusal::CrashesEndpoints { retry_after_ms }
+            | Refusal::Overloaded { retry_after_ms } => Some(*retry_after_ms),
             _ => None,
         }
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,19 +2,28 @@
 //! stand-ins.
 
 mod abortable_stream;
+mod bounded_stream;
+mod client_limits;
+mod connection_slot;
+mod guarded_body;
 mod handler;
 mod http_client;
 mod http_error;
 mod local_executor;
+mod memory_account;
+mod refused_clients;
 mod response_body;
 mod serve_options;
 mod server;
 mod transport;
 
+pub use client_limits::ClientLimits;
 pub use handler::Handler;
 pub use http_client::HttpClient;
 pub use http_error::HttpError;
 pub use local_executor::LocalExecutor;
+pub use memory_account::{AccountLimits, MemoryAccount, MemoryCharge};
+pub(crate) use refused_clients::record_refused_client;
 pub use response_body::{BrokenStream, ResponseBody};
 pub use serve_options::ServeOptions;
 pub use server::{serve, serve_with};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -18,6 +18,9 @@
 use tokio::task::JoinSet;
 
 use crate::http::abortable_stream::AbortableStream;
+use crate::http::bounded_stream::BoundedStream;
+use crate::http::connection_slot::ConnectionSlot;
+use crate::http::guarded_body::GuardedBody;
 use crate::http::{Handler, LocalExecutor, ServeOptions, Transport};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -47,7 +50,7 @@
     let mut connections = JoinSet::new();
     let start_connection = |(stream, remote)| {
         let (transport, handler) = (transport.clone(), Rc::clone(&handler));
-        accept_connection(stream, transport, options, remote, handler, shutdown.clone())
+        accept_connection(stream, transport, options.clone(), remote, handler, shutdown.clone())
     };
     loop {
         tokio::select! {
@@ -80,17 +83,21 @@
     handler: Rc<H>,
     shutdown: watch::Receiver<bool>,
 ) {
+    let Some(slot) = ConnectionSlot::open(options.connections.as_ref()) else { return };
     // Token streams consist of small writes; Nagle's algorithm would delay them and increase the
     // time between tokens.
     let _ = stream.set_nodelay(true);
     let is_aborted = Rc::new(Cell::new(false));
     let stream = AbortableStream::new(stream, Rc::clone(&is_aborted));
     let Transport::Tls(acceptor) = transport else {
-        return serve_connection(stream, &is_aborted, options, remote, handler, shutdown).await;
+        let stream = BoundedStream::new(stream, Rc::clone(&slot));
+        return serve_connection(stream, &slot, &is_aborted, options, remote, handler, shutdown)
+            .await;
     };
     match tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await {
         Ok(Ok(stream)) => {
-            serve_connection(stream, &is_aborted, options, remote, handler, shutdown).await;
+            let stream = BoundedStream::new(stream, Rc::clone(&slot));
+            serve_connection(stream, &slot, &is_aborted, options, remote, handler, shutdown).await;
         }
         Ok(Err(error)) => log::debug!("TLS handshake with {remote} failed: {error}"),
         Err(_) => log::debug!("TLS handshake with {remote} timed out"),
@@ -101,6 +108,7 @@
 /// end of the connection was broken off.
 async fn serve_connection<S, H>(
     stream: S,
+    slot: &Rc<ConnectionSlot>,
     is_aborted: &Cell<bool>,
     options: ServeOptions,
     remote: SocketAddr,
@@ -125,7 +133,11 @@
     let service = service_fn(move |request: Request<Incoming>| {
         version_seen.set(request.version() < Version::HTTP_11);
         let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
+        let guard = slot.begin_request();
+        async move {
+            let response = handler.handle(request, remote).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -133,6 +145,7 @@
     loop {
         tokio::select! {
             biased;
+            () = slot.shed() => return,
             served = connection.as_mut() => {
                 if let Err(error) = served {
                     is_aborted.set(is_end_unmarked.get());
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -16,6 +16,7 @@
     ConnectionPool, CrashCounts, EndpointClient, EndpointClientParts, Forwarder, ForwarderParts,
 };
 use crate::hash::stable_hash;
+use crate::http::ClientLimits;
 use crate::node::{NodeSettings, PlatformAdapter};
 use crate::quota::Quotas;
 use crate::replica::{Follower, RowChange, Topic};
@@ -25,6 +26,7 @@
 /// Shared state and components of a running instance.
 pub struct NodeState<A: PlatformAdapter, C: Clock> {
     pub settings: NodeSettings,
+    pub client_limits: ClientLimits,
     pub clock: C,
     pub store: Rc<A::Store>,
     pub catalog: Rc<Catalog<A::Decoder, C>>,
@@ -51,6 +53,8 @@
 impl<A: PlatformAdapter, C: Clock> NodeState<A, C> {
     pub fn new(adapter: &A, settings: NodeSettings, clock: C) -> (Rc<NodeState<A, C>>, ChangeFeed) {
         let now = clock.now();
+        let machine = settings.machine;
+        let client_limits = ClientLimits::for_machine(machine.memory_mb, machine.max_descriptors);
         let (sender, changes) = mpsc::unbounded_channel();
         let store = Rc::new(adapter.store());
         let catalog = Rc::new(Catalog::new(adapter.decoder(), clock.clone()));
@@ -82,6 +86,7 @@
             endpoints: Rc::clone(&endpoints),
             retry_limits,
             extra_retries_from,
+            bodies: client_limits.bodies.clone(),
             clock: clock.clone(),
         });
         let members = Rc::new(RefCell::new(members));
@@ -91,6 +96,7 @@
         });
         let state = NodeState {
             settings,
+            client_limits,
             clock,
             store,
             catalog,
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::{BootClock, Clock};
 use crate::fleet::HeartbeatExchange;
-use crate::http::{Handler, ServeOptions, Transport, serve_with};
+use crate::http::{Handler, MemoryAccount, ServeOptions, Transport, serve_with};
 use crate::node::drain::drain;
 use crate::node::node_handler::{CallerHandler, MetricsHandler, PeerHandler};
 use crate::node::peer_replicas::PeerReplicas;
@@ -58,20 +58,41 @@
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let mut listeners = JoinSet::new();
     let settings = &node.settings;
+    let connections = &node.client_limits.connections;
     let caller_handler = Rc::new(CallerHandler(Rc::clone(&node)));
     let metrics_address = SocketAddr::new(IpAddr::V4(settings.address), settings.metrics_port);
-    listen(&mut listeners, settings.caller_address, caller_handler, &shutdown_receiver).await?;
+    listen(
+        &mut listeners,
+        settings.caller_address,
+        caller_handler,
+        connections,
+        &shutdown_receiver,
+    )
+    .await?;
     // These listeners run until the process exits, so that a draining instance still answers.
     let (_never_shutdown_sender, never_shutdown) = watch::channel(false);
     let mut persistent = JoinSet::new();
     let lookup = Rc::new(adapter.lookup(&node));
-    listen(&mut persistent, settings.lookup_address, lookup, &never_shutdown).await?;
-    listen(&mut persistent, settings.ready_address, Rc::new(adapter.ready(&node)), &never_shutdown)
-        .await?;
+    listen(&mut persistent, settings.lookup_address, lookup, connections, &never_shutdown).await?;
+    listen(
+        &mut persistent,
+        settings.ready_address,
+        Rc::new(adapter.ready(&node)),
+        connections,
+        &never_shutdown,
+    )
+    .await?;
     let peer_handler = Rc::new(PeerHandler(Rc::clone(&node)));
-    listen(&mut persistent, settings.peer_address, peer_handler, &never_shutdown).await?;
-    listen(&mut persistent, metrics_address, Rc::new(MetricsHandler(metrics)), &never_shutdown)
+    listen(&mut persistent, settings.peer_address, peer_handler, connections, &never_shutdown)
         .await?;
+    listen(
+        &mut persistent,
+        metrics_address,
+        Rc::new(MetricsHandler(metrics)),
+        connections,
+        &never_shutdown,
+    )
+    .await?;
     let status_address = SocketAddr::new(IpAddr::V4(settings.address), settings.status_port);
     let exchange = HeartbeatExchange::bind(status_address, Rc::clone(&node.members), clock)
         .await
@@ -91,12 +112,14 @@
     listeners: &mut JoinSet<()>,
     address: SocketAddr,
     handler: Rc<H>,
+    connections: &MemoryAccount,
     shutdown_receiver: &watch::Receiver<bool>,
 ) -> Result<(), NodeError> {
     let listener =
         TcpListener::bind(address).await.map_err(|source| NodeError::Listen { address, source })?;
     let limits = crate::catalog::RequestLimits::default();
-    let options = ServeOptions::http1(limits.connection_idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS);
+    let idle_timeout_ms = limits.connection_idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS;
+    let options = ServeOptions::http1(idle_timeout_ms).with_connections(connections.clone());
     listeners.spawn_local(serve_with(
         listener,
         Transport::Plain,
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -14,6 +14,7 @@
     mod labels;
     mod load_pattern;
     mod members;
+    mod memory_account;
     mod memory_pattern;
     mod order_lease;
     mod peer_pull;
