Close connections that made room before the next one is accepted

Cause: a listener accepts many connections in one turn of the event loop, while those that were shed for them wait to be closed.

Change: a connection takes its place when it is accepted, and the listener waits until the connection that made room has been closed.

--- a/src/http/memory_account.rs
+++ b/src/http/memory_account.rs
@@ -31,6 +31,8 @@
     /// Charges by id, without those that were shed.
     charges: BTreeMap<u64, ChargeState>,
     used_bytes: usize,
+    /// Number of charges that were shed and are not dropped yet.
+    shed_charges: usize,
     next_id: u64,
     /// Number of the last activity of any charge.
     activity: u64,
@@ -80,6 +82,11 @@
         self.lock().used_bytes
     }
 
+    /// Whether the owner of a charge that was shed still holds its memory.
+    pub fn has_shed_charges(&self) -> bool {
+        self.lock().shed_charges > 0
+    }
+
     fn lock(&self) -> MutexGuard<'_, AccountState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -123,6 +130,7 @@
         for victim in victims {
             if let Some(charge) = self.charges.remove(&victim) {
                 self.used_bytes -= charge.bytes;
+                self.shed_charges += 1;
                 charge.shed.notify_one();
             }
         }
@@ -183,8 +191,9 @@
 impl Drop for MemoryCharge {
     fn drop(&mut self) {
         let mut state = self.account.lock();
-        if let Some(charge) = state.charges.remove(&self.id) {
-            state.used_bytes -= charge.bytes;
+        match state.charges.remove(&self.id) {
+            Some(charge) => state.used_bytes -= charge.bytes,
+            None => state.shed_charges -= 1,
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -21,7 +21,7 @@
 use crate::http::bounded_stream::BoundedStream;
 use crate::http::connection_slot::ConnectionSlot;
 use crate::http::guarded_body::GuardedBody;
-use crate::http::{Handler, LocalExecutor, ServeOptions, Transport};
+use crate::http::{Handler, LocalExecutor, MemoryAccount, ServeOptions, Transport};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_HEADER_BYTES: usize = 32 << 10;
@@ -48,15 +48,23 @@
 ) {
     let mut stop = shutdown.clone();
     let mut connections = JoinSet::new();
-    let start_connection = |(stream, remote)| {
-        let (transport, handler) = (transport.clone(), Rc::clone(&handler));
-        accept_connection(stream, transport, options.clone(), remote, handler, shutdown.clone())
+    let account = options.connections.as_ref();
+    let start_connection = |(stream, remote), slot| {
+        let (transport, handler, stop) = (transport.clone(), Rc::clone(&handler), shutdown.clone());
+        accept_connection(stream, slot, transport, options.clone(), remote, handler, stop)
     };
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok(accepted) => {
-                    connections.spawn_local(start_connection(accepted));
+                    if let Some(slot) = ConnectionSlot::open(account) {
+                        connections.spawn_local(start_connection(accepted, slot));
+                    }
+                    // Connections that made room are closed before the next one is accepted, so
+                    // that their descriptors and memory do not add up.
+                    while account.is_some_and(MemoryAccount::has_shed_charges) {
+                        tokio::task::yield_now().await;
+                    }
                 }
                 Err(error) => {
                     log::warn!("accept failed: {error}");
@@ -69,7 +77,9 @@
     }
     // Callers whose connections the kernel has accepted may have sent requests already.
     while let Some(Ok(accepted)) = listener.accept().now_or_never() {
-        connections.spawn_local(start_connection(accepted));
+        if let Some(slot) = ConnectionSlot::open(account) {
+            connections.spawn_local(start_connection(accepted, slot));
+        }
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -77,13 +87,13 @@
 
 async fn accept_connection<H: Handler>(
     stream: TcpStream,
+    slot: Rc<ConnectionSlot>,
     transport: Transport,
     options: ServeOptions,
     remote: SocketAddr,
     handler: Rc<H>,
     shutdown: watch::Receiver<bool>,
 ) {
-    let Some(slot) = ConnectionSlot::open(options.connections.as_ref()) else { return };
     // Token streams consist of small writes; Nagle's algorithm would delay them and increase the
     // time between tokens.
     let _ = stream.set_nodelay(true);
--- a/tests/node/memory_account.rs
+++ b/tests/node/memory_account.rs
@@ -87,3 +87,18 @@
     let used_bytes = limits.connections.used_bytes() + limits.bodies.used_bytes();
     assert!(used_bytes < 88 << 20);
 }
+
+/// Guards against accepting connections while those that made room for them still hold their
+/// descriptors.
+#[test]
+fn a_shed_charge_is_known_until_it_is_dropped() {
+    let account = account(100, 1);
+    let idle = account.open(10).unwrap();
+    assert!(!account.has_shed_charges());
+    let newcomer = account.open(10).unwrap();
+    assert!(account.has_shed_charges());
+    drop(idle);
+    assert!(!account.has_shed_charges());
+    drop(newcomer);
+    assert_eq!((account.used_bytes(), account.has_shed_charges()), (0, false));
+}
