--- a/src/http/tracked_body.rs
+++ b/src/http/guarded_body.rs
@@ -4,31 +4,29 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::http::open_requests::OpenRequest;
 use crate::http::{BrokenStream, ResponseBody};
 
-/// Body of a response whose request stays open until the body has been sent or given up.
-#[derive(Debug)]
-pub(super) struct TrackedBody {
+/// A response body that keeps the guards of its request until it has been sent or given up.
+pub(super) struct GuardedBody<G> {
     body: ResponseBody,
-    _request: OpenRequest,
+    _guards: G,
 }
 
-impl TrackedBody {
-    pub fn new(body: ResponseBody, request: OpenRequest) -> TrackedBody {
-        TrackedBody { body, _request: request }
+impl<G> GuardedBody<G> {
+    pub(super) fn new(body: ResponseBody, guards: G) -> GuardedBody<G> {
+        GuardedBody { body, _guards: guards }
     }
 }
 
-impl Body for TrackedBody {
+impl<G: Unpin> Body for GuardedBody<G> {
     type Data = Bytes;
     type Error = BrokenStream;
 
     fn poll_frame(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,9 +19,11 @@
 use tokio::task::JoinSet;
 
 use crate::http::abortable_stream::AbortableStream;
+use crate::http::bounded_stream::BoundedStream;
+use crate::http::connection_slot::ConnectionSlot;
+use crate::http::guarded_body::GuardedBody;
 use crate::http::open_requests::OpenRequests;
-use crate::http::tracked_body::TrackedBody;
-use crate::http::{Handler, LocalExecutor, ServeOptions, Transport};
+use crate::http::{Handler, LocalExecutor, MemoryAccount, ServeOptions, Transport};
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_HEADER_BYTES: usize = 32 << 10;
@@ -48,15 +50,23 @@
 ) {
     let mut stop = shutdown.clone();
     let mut connections = JoinSet::new();
-    let start_connection = |(stream, remote)| {
-        let (transport, handler) = (transport.clone(), Rc::clone(&handler));
-        accept_connection(stream, transport, options, remote, handler, shutdown.clone())
+    let account = options.connections.as_ref();
+    let start_connection = |(stream, remote), slot| {
+        let (transport, handler, stop) = (transport.clone(), Rc::clone(&handler), shutdown.clone());
+        accept_connection(stream, slot, transport, options.clone(), remote, handler, stop)
     };
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok(accepted) => {
-                    connections.spawn_local(start_connection(accepted));
+                    if let Some(slot) = ConnectionSlot::open(account) {
+                        connections.spawn_local(start_connection(accepted, slot));
+                    }
+                    // Connections that made room are closed before the next one is accepted, so
+                    // that their descriptors and memory do not add up.
+                    while account.is_some_and(MemoryAccount::has_shed_charges) {
+                        tokio::task::yield_now().await;
+                    }
                 }
                 Err(error) => {
                     log::warn!("accept failed: {error}");
@@ -69,7 +79,9 @@
     }
     // Callers whose connections the kernel has accepted may have sent requests already.
     while let Some(Ok(accepted)) = listener.accept().now_or_never() {
-        connections.spawn_local(start_connection(accepted));
+        if let Some(slot) = ConnectionSlot::open(account) {
+            connections.spawn_local(start_connection(accepted, slot));
+        }
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -77,6 +89,7 @@
 
 async fn accept_connection<H: Handler>(
     stream: TcpStream,
+    slot: Rc<ConnectionSlot>,
     transport: Transport,
     options: ServeOptions,
     remote: SocketAddr,
@@ -92,10 +105,14 @@
     let stream = AbortableStream::new(stream, Rc::clone(&is_aborted), received_bytes);
     let ends = ConnectionEnds { is_aborted: &is_aborted, requests, shutdown };
     let Transport::Tls(acceptor) = transport else {
-        return serve_connection(stream, options, remote, handler, ends).await;
+        let stream = BoundedStream::new(stream, Rc::clone(&slot));
+        return serve_connection(stream, &slot, options, remote, handler, ends).await;
     };
     match tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await {
-        Ok(Ok(stream)) => serve_connection(stream, options, remote, handler, ends).await,
+        Ok(Ok(stream)) => {
+            let stream = BoundedStream::new(stream, Rc::clone(&slot));
+            serve_connection(stream, &slot, options, remote, handler, ends).await;
+        }
         Ok(Err(error)) => log::debug!("TLS handshake with {remote} failed: {error}"),
         Err(_) => log::debug!("TLS handshake with {remote} timed out"),
     }
@@ -113,6 +130,7 @@
 /// being sent: hyper drops a request that it has received behind the one whose response is the last.
 async fn serve_connection<S, H>(
     stream: S,
+    slot: &Rc<ConnectionSlot>,
     options: ServeOptions,
     remote: SocketAddr,
     handler: Rc<H>,
@@ -141,6 +159,7 @@
         version_seen.set(request.version() < Version::HTTP_11);
         let (handler, is_last) = (Rc::clone(&handler), Rc::clone(&is_last));
         let open_request = opened.open(&request);
+        let guard = slot.begin_request();
         let version = request.version();
         async move {
             let mut response = handler.handle(request, remote).await;
@@ -150,7 +169,7 @@
             } else if version < Version::HTTP_2 && is_last.get() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, open_request)))
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, (open_request, guard))))
         }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -159,6 +178,7 @@
     loop {
         tokio::select! {
             biased;
+            () = slot.shed() => return,
             served = connection.as_mut() => {
                 if let Err(error) = served {
                     is_aborted.set(is_end_unmarked.get());
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -16,6 +16,7 @@
     mod labels;
     mod load_pattern;
     mod members;
+    mod memory_account;
     mod memory_pattern;
     mod order_lease;
     mod pace;
