Roll out versions of a service with a bounded exposure and an automatic verdict

Change: src/rollout holds the decisions (allowance of each instance, counts by step and route, sequential tests, steps, versions held without an order), src/node the holder's task over conditional writes of the store, platform the wire names. Requests get a version filter in choice::choose. Nothing of it runs or is read from the store unless the settings name the contract and the limits.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -1,6 +1,6 @@
 //! Endpoints of all services and what is known of each.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 
@@ -264,6 +264,30 @@
         states.filter(move |state| self.is_in_service(state) && now >= state.role_change_until)
     }
 
+    /// Services that have had an endpoint.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.by_service.keys()
+    }
+
+    /// Endpoints of a service by version.
+    pub fn versions(&self, service: &ServiceId) -> BTreeMap<SmolStr, usize> {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut versions = BTreeMap::new();
+        for state in ids.iter().filter_map(|id| self.endpoints.get(id)) {
+            *versions.entry(state.endpoint.version.clone()).or_default() += 1;
+        }
+        versions
+    }
+
+    /// Requests of this instance that run at endpoints of a service of other versions than
+    /// `version`.
+    pub fn local_requests_except(&self, service: &ServiceId, version: &SmolStr) -> u32 {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let states = ids.iter().filter_map(|id| self.endpoints.get(id));
+        let others = states.filter(|state| state.endpoint.version != *version);
+        others.map(|state| state.local_load.requests).sum()
+    }
+
     pub fn len(&self) -> usize {
         self.endpoints.len()
     }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -4,7 +4,9 @@
 
 use rand::Rng;
 
-use crate::balance::{Balancer, EndpointState, Placement, PlacementError};
+use crate::balance::{
+    ANY_VERSION, Balancer, EndpointState, Placement, PlacementError, VersionFilter,
+};
 use crate::catalog::{EndpointRole, EngineProperties};
 use crate::clock::Instant;
 use crate::units::{EndpointId, ServiceId, ZoneId};
@@ -35,6 +37,7 @@
     pub service: &'a ServiceId,
     pub prompt_tokens: u64,
     pub excluded: &'a [EndpointId],
+    pub versions: &'a VersionFilter,
 }
 
 /// Input for choosing a decode engine.
@@ -51,6 +54,7 @@
     pub preferred_zone: Option<&'a ZoneId>,
     pub engine: EngineProperties,
     pub excluded: &'a [EndpointId],
+    pub versions: &'a VersionFilter,
 }
 
 impl Balancer {
@@ -60,13 +64,24 @@
         service: &ServiceId,
         excluded: &[EndpointId],
         now: Instant,
+    ) -> Result<Placement, PlacementError> {
+        self.choose_plain_version(service, &ANY_VERSION, excluded, now)
+    }
+
+    /// Chooses among the endpoints of some versions, as `choose_plain` does.
+    pub fn choose_plain_version(
+        &mut self,
+        service: &ServiceId,
+        versions: &VersionFilter,
+        excluded: &[EndpointId],
+        now: Instant,
     ) -> Result<Placement, PlacementError> {
         let default_ms =
             self.average(service, |state| state.average_unit_ms()).unwrap_or(DEFAULT_RESPONSE_MS);
         let average_error_rate =
             self.average(service, |state| Some(state.health.error_rate())).unwrap_or(0.0);
         let zone = self.zone.clone();
-        self.choose(service, None, excluded, now, move |state| {
+        self.choose(service, None, (versions, excluded), now, move |state| {
             let load = state.load();
             let slots = f64::from(state.endpoint.slots.max(1));
             let service_ms = state.average_unit_ms().unwrap_or(default_ms);
@@ -92,7 +107,7 @@
         let default_ms = self.prefill_ms_per_token(query.service);
         let zone = self.zone.clone();
         let role = Some(EndpointRole::Prefill);
-        self.choose(query.service, role, query.excluded, now, |state| {
+        self.choose(query.service, role, (query.versions, query.excluded), now, |state| {
             let token_ms = state.average_unit_ms().unwrap_or(default_ms);
             let pending_tokens = state.load().prompt_tokens + query.prompt_tokens;
             let zone_penalty_ms =
@@ -113,7 +128,7 @@
         let capacity = query.engine.kv_capacity.get() as f64 * query.fill_fraction;
         let slots = f64::from(query.engine.slots.max(1));
         let role = Some(EndpointRole::Decode);
-        self.choose(query.service, role, query.excluded, now, |state| {
+        self.choose(query.service, role, (query.versions, query.excluded), now, |state| {
             let load = state.load();
             let memory = (load.memory_tokens + query.memory_tokens) as f64;
             // A request above the usable capacity may still run on an engine without other
@@ -160,7 +175,7 @@
         &mut self,
         service: &ServiceId,
         role: Option<EndpointRole>,
-        excluded: &[EndpointId],
+        (versions, excluded): (&VersionFilter, &[EndpointId]),
         now: Instant,
         score: impl Fn(&EndpointState) -> Option<f64>,
     ) -> Result<Placement, PlacementError> {
@@ -176,6 +191,7 @@
                 || endpoint.role != role
                 || self.zones_out_of_service.contains(&endpoint.zone)
                 || excluded.contains(id)
+                || !versions.allows(&endpoint.version)
                 || now < state.role_change_until;
             if is_excluded {
                 continue;
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -19,6 +19,7 @@
 mod reported_loads;
 mod retry_window;
 mod send_count;
+mod version_filter;
 mod wait_queue;
 
 pub use acceptance::Acceptance;
@@ -37,4 +38,5 @@
 pub use placement::{Placement, PlacementError};
 pub use retry_window::{RetryLimits, RetryWindow};
 pub use send_count::{SendCount, SendKind, SendOutcome, StartedSend};
+pub use version_filter::{ANY_VERSION, VersionFilter};
 pub use wait_queue::{Ticket, WaitQueue};
--- a/src/catalog/catalog_state.rs
+++ b/src/catalog/catalog_state.rs
@@ -5,7 +5,8 @@
 use crate::catalog::{Endpoint, OperatorRow, RowDecoder, ServiceConfiguration};
 use crate::clock::{Clock, Instant};
 use crate::replica::{Replica, RowChange};
-use crate::units::{EndpointId, ZoneId};
+use crate::rollout::RolloutOrder;
+use crate::units::{EndpointId, ServiceId, ZoneId};
 
 /// Grace period in which an endpoint stays in use after its entry expired without a prior leave
 /// notice. Entries also expire during an outage of the store and are written again within about 2 s
@@ -34,6 +35,9 @@
 struct State {
     configuration: Option<Rc<ServiceConfiguration>>,
     zones_out_of_service: HashSet<ZoneId>,
+    /// The newest order of each service, with the version of its row. One whose row is removed is
+    /// kept, since the roll-out may be half done.
+    rollout_orders: HashMap<ServiceId, (RolloutOrder, u64)>,
     endpoints: HashMap<EndpointId, Rc<Endpoint>>,
     /// Endpoints whose entry has expired, with the end of their grace period.
     expiring: HashMap<EndpointId, Instant>,
@@ -60,6 +64,11 @@
         self.state.borrow().zones_out_of_service.clone()
     }
 
+    /// The newest order of each service to roll out a version, with the version of its row.
+    pub fn rollout_orders(&self) -> Vec<(RolloutOrder, u64)> {
+        self.state.borrow().rollout_orders.values().cloned().collect()
+    }
+
     /// Applies changed rows of operators.
     pub fn apply_operator_rows(&self, replica: &Replica, changes: &[RowChange]) {
         let mut state = self.state.borrow_mut();
@@ -88,6 +97,9 @@
                     log::info!(target: "catalog", zone = zone.as_str(); "zone out of service");
                     state.zones_out_of_service.insert(zone);
                 }
+                Ok(OperatorRow::Rollout(order)) => {
+                    state.rollout_orders.insert(order.service.clone(), (order, change.version));
+                }
                 Ok(OperatorRow::Other) => {}
                 Err(error) => log::warn!(target: "catalog", "{error}; row ignored"),
             }
--- a/src/catalog/decoder.rs
+++ b/src/catalog/decoder.rs
@@ -3,6 +3,7 @@
 
 use crate::catalog::{Endpoint, ServiceConfiguration};
 use crate::clock::Instant;
+use crate::rollout::RolloutOrder;
 use crate::units::ZoneId;
 
 /// A row whose value cannot be decoded.
@@ -19,6 +20,7 @@
     Configuration(Box<ServiceConfiguration>),
     /// The zone is out of service while the row exists.
     ZoneOutOfService(ZoneId),
+    Rollout(RolloutOrder),
     Other,
 }
 
--- a/src/catalog/endpoint.rs
+++ b/src/catalog/endpoint.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 
+use smol_str::SmolStr;
+
 use crate::clock::Instant;
 use crate::units::{EndpointId, ServiceId, ZoneId};
 
@@ -18,6 +20,8 @@
     pub service: ServiceId,
     pub address: SocketAddr,
     pub zone: ZoneId,
+    /// Version of the endpoint's software.
+    pub version: SmolStr,
     pub slots: u32,
     pub is_leaving: bool,
     /// `None` for endpoints of plain services.
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -278,6 +278,12 @@
         1 + known.count()
     }
 
+    /// Position of this instance among all known ones by address, and their number.
+    pub fn own_position(&self) -> (usize, usize) {
+        let before = self.members.keys().filter(|address| **address < self.own_address);
+        (before.count(), 1 + self.members.len())
+    }
+
     /// Whether this instance has run for long enough to have heard of all its peers.
     pub fn is_settled(&self, now: Instant) -> bool {
         now.ms_since(self.started_at) >= self.settling_ms()
--- a/src/fleet/status_extension.rs
+++ b/src/fleet/status_extension.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::rollout::RolloutReport;
+
 /// What newer parts of an instance tell their peers. Each field is empty unless a deployment's
 /// configuration or settings call for the part.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -9,7 +11,7 @@
     /// Speeds of endpoints.
     pub speeds: Vec<u8>,
     /// Answers of the versions of services that are rolled out.
-    pub rollouts: Vec<u8>,
+    pub rollouts: Vec<RolloutReport>,
 }
 
 impl StatusExtension {
--- a/src/forward/admit.rs
+++ b/src/forward/admit.rs
@@ -66,6 +66,7 @@
         let now = self.parts.clock.now();
         let limits = &self.parts.retry_limits;
         self.with_retry_window(&service.id, |window| window.record_request(now, limits));
+        self.parts.rollouts.borrow_mut().record_request(&service.id, now);
         RequestContext {
             request,
             route,
@@ -77,6 +78,7 @@
             sends: SendCount::default(),
             runs: 0,
             excluded: Vec::new(),
+            versions: None,
         }
     }
 
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -18,6 +18,7 @@
 use crate::forward::{Codec, CrashCounts, EndpointClient, Refusal, RequestLabels};
 use crate::http::{Handler, ResponseBody};
 use crate::quota::Quotas;
+use crate::rollout::Rollouts;
 use crate::units::ServiceId;
 
 /// Components of an instance that the forwarder uses.
@@ -28,6 +29,7 @@
     pub quotas: Rc<RefCell<Quotas>>,
     pub crashes: Rc<RefCell<CrashCounts>>,
     pub crashing_parts: Rc<RefCell<CrashingParts>>,
+    pub rollouts: Rc<RefCell<Rollouts>>,
     pub retry_limits: RetryLimits,
     /// Time from which on this instance uses its part of the retries that do not depend on the
     /// number of requests.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -33,6 +33,7 @@
 mod responses;
 mod sends;
 mod stream_relay;
+mod versions;
 
 pub use caller_request::{CallerRequest, Generation};
 pub use codec::{Codec, MalformedRequest, PrefillOutput, ResponseKind};
--- a/src/forward/open_stream.rs
+++ b/src/forward/open_stream.rs
@@ -4,11 +4,12 @@
 
 use crate::balance::SendKind;
 use crate::catalog::{Endpoint, RowDecoder};
-use crate::clock::Clock;
+use crate::clock::{Clock, Instant};
 use crate::forward::decode::Opened;
 use crate::forward::prefill::Prefill;
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder, Refusal};
+use crate::rollout::AnswerKind;
 
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     /// Starts a generation, or continues the stream of `progress`, trying engines until one accepts
@@ -24,12 +25,15 @@
             if now >= context.deadline {
                 return Err(self.deadline_refusal(context));
             }
-            prefill = prefill.filter(|prefill| now < prefill.usable_until);
+            // A prefill of a version that no longer gets the request cannot be used.
+            let is_usable = self.are_versions_current(context);
+            prefill = prefill.filter(|prefill| is_usable && now < prefill.usable_until);
             let plan = self.place(context, prefill.as_ref().map(|prefill| &prefill.zone)).await?;
             self.refuse_if_crashing(context)?;
+            let placed_at = self.parts.clock.now();
             if let Some(placement) = &plan.prefill {
                 // An engine may have left while the memory was reserved or the prompt was read.
-                if !self.may_receive(&placement.endpoint) {
+                if !self.may_receive(context, &placement.endpoint) {
                     continue;
                 }
                 prefill = self.prefill(context, placement).await?;
@@ -39,7 +43,7 @@
             }
             self.refuse_if_crashing(context)?;
             let endpoint = Rc::clone(&plan.decode.endpoint);
-            if !self.may_receive(&endpoint) {
+            if !self.may_receive(context, &endpoint) {
                 continue;
             }
             let Some(send) = self.begin_send(context, &endpoint, SendKind::Run) else {
@@ -50,6 +54,7 @@
             self.finish_send(context, &endpoint, send, &result);
             match result {
                 Ok(opened) => {
+                    self.record_opened(context, &endpoint, &opened, placed_at);
                     // The decode engine has fetched the KV cache.
                     if let Some(prefill) = &mut prefill {
                         prefill.guard.disarm();
@@ -74,7 +79,29 @@
         }
     }
 
-    fn may_receive(&self, endpoint: &Endpoint) -> bool {
-        self.parts.balancer.borrow().may_receive(endpoint, self.parts.clock.now())
+    /// Whether the chosen endpoint is still in service and of a version that gets the request.
+    fn may_receive(&self, context: &RequestContext<C>, endpoint: &Endpoint) -> bool {
+        let now = self.parts.clock.now();
+        self.parts.balancer.borrow().may_receive(endpoint, now)
+            && self.are_versions_current(context)
+    }
+
+    /// Counts an opened stream for the roll-out of its service.
+    fn record_opened(
+        &self,
+        context: &RequestContext<C>,
+        endpoint: &Endpoint,
+        opened: &Opened,
+        placed_at: Instant,
+    ) {
+        let kind = match opened {
+            Opened::NonStream(answer) if answer.status().is_server_error() => AnswerKind::Bad,
+            Opened::NonStream(_) => AnswerKind::Good { latency_ms: None },
+            Opened::Stream(_) => {
+                let latency_ms = self.parts.clock.now().ms_since(placed_at);
+                AnswerKind::Good { latency_ms: Some(latency_ms) }
+            }
+        };
+        self.record_version_answer(context, endpoint, kind);
     }
 }
--- a/src/forward/placement.rs
+++ b/src/forward/placement.rs
@@ -53,6 +53,9 @@
             let now = self.parts.clock.now();
             if ticket.is_next(now) || source_zone.is_some() {
                 let fill_fraction = if now > due_at { LATE_FILL_FRACTION } else { FILL_FRACTION };
+                if source_zone.is_none() {
+                    self.choose_versions(context);
+                }
                 match self.plan(context, source_zone, fill_fraction, now) {
                     Ok(plan) => {
                         if let Some(plan) = self.reserve_plan(context, plan).await {
@@ -61,6 +64,7 @@
                         }
                         continue;
                     }
+                    Err(_) if source_zone.is_none() && self.leave_new_version(context) => continue,
                     Err(
                         error @ (PlacementError::NoEndpoint | PlacementError::AllPaused { .. }),
                     ) => {
--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -10,6 +10,7 @@
 use crate::forward::request_context::{LoadGuard, RequestContext};
 use crate::forward::{Codec, EndpointError, EndpointRequest, Forwarder, Refusal, Stage};
 use crate::http::ResponseBody;
+use crate::rollout::AnswerKind;
 
 /// Timeout of an attempt of a retryable request, as a multiple of the expected response time; at
 /// least `MIN_ATTEMPT_TIMEOUT_MS`. The request is then sent to another endpoint.
@@ -28,13 +29,16 @@
             if now >= context.deadline {
                 break self.deadline_refusal(&context);
             }
-            let chosen = self.parts.balancer.borrow_mut().choose_plain(
+            self.choose_versions(&mut context);
+            let chosen = self.parts.balancer.borrow_mut().choose_plain_version(
                 &context.service.id,
+                context.version_filter(),
                 &context.excluded,
                 now,
             );
             let placement = match chosen {
                 Ok(placement) => placement,
+                Err(_) if self.leave_new_version(&mut context) => continue,
                 Err(error) => break self.placement_refusal(&context, error),
             };
             let endpoint = &placement.endpoint;
@@ -104,6 +108,11 @@
         context.log.record_send("run", placement.endpoint.id.as_str(), &code);
         if let Ok(answer) = &result {
             context.log.record_first_response();
+            let kind = match answer.status().is_server_error() {
+                true => AnswerKind::Bad,
+                false => AnswerKind::Good { latency_ms: Some(now_after.ms_since(now)) },
+            };
+            self.record_version_answer(context, &placement.endpoint, kind);
             let mut balancer = self.parts.balancer.borrow_mut();
             if let Some(state) = balancer.endpoint_mut(&placement.endpoint.id) {
                 state.record_unit_time(now_after.ms_since(now) as f64);
--- a/src/forward/plan.rs
+++ b/src/forward/plan.rs
@@ -43,6 +43,7 @@
             preferred_zone: source_zone,
             engine,
             excluded: &context.excluded,
+            versions: context.version_filter(),
         };
         if source_zone.is_some() {
             let decode = balancer.choose_decode(&query, now)?;
@@ -53,6 +54,7 @@
             service: &context.service.id,
             prompt_tokens,
             excluded: &context.excluded,
+            versions: context.version_filter(),
         };
         let split = balancer.choose_prefill(&prefill_query, now).ok();
         query.prompt_tokens = prompt_tokens;
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -1,12 +1,13 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use crate::balance::{Balancer, Load, MemoryEstimate, SendCount};
+use crate::balance::{ANY_VERSION, Balancer, Load, MemoryEstimate, SendCount, VersionFilter};
 use crate::catalog::{Customer, Route, Service};
 use crate::clock::{Clock, Instant};
 use crate::forward::CallerRequest;
 use crate::forward::request_log::RequestLog;
 use crate::quota::Quotas;
+use crate::rollout::VersionChoice;
 use crate::units::{EndpointId, OrganisationId, Tokens};
 
 /// Queue penalty for each token that a request is expected to generate, because it occupies its
@@ -29,6 +30,8 @@
     pub runs: u32,
     /// Endpoints that the request is not sent to again.
     pub excluded: Vec<EndpointId>,
+    /// Versions that the next attempt may go to; `None` before the first one is prepared.
+    pub versions: Option<VersionChoice>,
 }
 
 impl<C: Clock> RequestContext<C> {
@@ -46,6 +49,11 @@
         self.route.kind.is_retryable() && self.runs < self.route.max_endpoints
     }
 
+    /// Versions that the next attempt may go to.
+    pub fn version_filter(&self) -> &VersionFilter {
+        self.versions.as_ref().map_or(&ANY_VERSION, |choice| &choice.filter)
+    }
+
     /// Tokens of the prompt; 0 unless the request is a generation.
     pub fn prompt_tokens(&self) -> u64 {
         self.request.generation.as_ref().map_or(0, |size| size.prompt_tokens)
--- a/src/forward/sends.rs
+++ b/src/forward/sends.rs
@@ -66,6 +66,9 @@
         if context.sends.finish(send, outcome) {
             self.with_retry_window(&context.service.id, RetryWindow::refund);
         }
+        if let Err(error) = result {
+            self.record_version_failure(context, endpoint, error);
+        }
         let is_accepted = match result {
             Ok(_) => true,
             Err(EndpointError::NotRun) => false,
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -107,6 +107,7 @@
     stream: &OpenStream,
     error: &EndpointError,
 ) {
+    forwarder.record_version_failure(context, &stream.endpoint, error);
     let endpoint = &stream.load.endpoint;
     context.log.record_send("stream", endpoint.as_str(), error.code());
     if let Some(state) = forwarder.parts.balancer.borrow_mut().endpoint_mut(endpoint) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quota;
 pub mod replica;
 pub mod roles;
+pub mod rollout;
 pub mod route;
 pub mod serve;
 pub mod settings;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,9 @@
 mod peer_replicas;
 mod platform_adapter;
 mod role_orders;
+mod rollout_decider;
+mod rollout_orders;
+mod rollout_table;
 mod run;
 mod tasks;
 
@@ -17,4 +20,6 @@
 pub use node_settings::{NodeSettings, RetrySettings};
 pub use node_state::NodeState;
 pub use platform_adapter::PlatformAdapter;
+pub use rollout_decider::RolloutDecider;
+pub use rollout_table::{RolloutLeaseTable, RolloutRow, RolloutTable};
 pub use run::run_node;
--- a/src/node/node_settings.rs
+++ b/src/node/node_settings.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::balance::RetryLimits;
+use crate::rollout::RolloutSettings;
 use crate::units::{InstanceId, ZoneId};
 
 /// Settings of an instance, read from a JSON file with comments.
@@ -41,6 +42,22 @@
     /// Time after one instance's orders to engines during which no other instance gives any.
     #[serde(default = "default_order_turn_ms")]
     pub order_turn_ms: u64,
+    /// Parts of the rules that are in force.
+    #[serde(default)]
+    pub contracts: Vec<SmolStr>,
+    /// Limits of roll-outs. Without them or without their contract there are none.
+    pub rollout: Option<RolloutSettings>,
+}
+
+/// Contract under which roll-outs are ordered.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
+impl NodeSettings {
+    /// Limits of roll-outs; `None` if the deployment has none.
+    pub fn rollout_settings(&self) -> Option<RolloutSettings> {
+        let is_named = self.contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT);
+        self.rollout.filter(|_| is_named)
+    }
 }
 
 /// Limit on retries of requests, per service and for all instances together.
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -16,9 +16,12 @@
     ConnectionPool, CrashCounts, EndpointClient, EndpointClientParts, Forwarder, ForwarderParts,
 };
 use crate::hash::stable_hash;
+use crate::node::rollout_orders::log_step;
 use crate::node::{NodeSettings, PlatformAdapter};
 use crate::quota::Quotas;
 use crate::replica::{Follower, RowChange, Topic};
+use crate::rollout::{RolloutReport, Rollouts};
+use crate::units::ServiceId;
 
 type ChangeFeed = mpsc::UnboundedReceiver<(Topic, Vec<RowChange>)>;
 
@@ -34,6 +37,7 @@
     pub crashing_parts: Rc<RefCell<CrashingParts>>,
     pub endpoints: Rc<EndpointClient<A::Codec, C>>,
     pub members: Rc<RefCell<Members>>,
+    pub rollouts: Rc<RefCell<Rollouts>>,
     pub forwarder: Rc<Forwarder<A::Codec, A::Decoder, C>>,
     /// Followers of the store's tables, by `Topic::index`.
     pub followers: [Rc<Follower<A::Store, C>>; 2],
@@ -73,6 +77,8 @@
         let retry_limits = settings.retry.limits();
         let extra_retries_from =
             if settings.is_first_start { now } else { now.plus_ms(retry_limits.window_ms) };
+        let rollouts = Rollouts::new(settings.rollout_settings());
+        let rollouts = Rc::new(RefCell::new(rollouts));
         let forwarder = Forwarder::new(ForwarderParts {
             catalog: Rc::clone(&catalog),
             balancer: Rc::clone(&balancer),
@@ -80,6 +86,7 @@
             crashes: Rc::clone(&crashes),
             crashing_parts: Rc::clone(&crashing_parts),
             endpoints: Rc::clone(&endpoints),
+            rollouts: Rc::clone(&rollouts),
             retry_limits,
             extra_retries_from,
             clock: clock.clone(),
@@ -100,6 +107,7 @@
             crashing_parts,
             endpoints,
             members,
+            rollouts,
             forwarder,
             followers,
             is_leaving: Cell::new(false),
@@ -122,6 +130,14 @@
         self.followers.iter().all(|follower| follower.is_steady())
     }
 
+    fn rollout_reports(&self, now: Instant) -> Vec<RolloutReport> {
+        let balancer = self.balancer.borrow();
+        let old_requests = |service: &ServiceId, version: &SmolStr| {
+            balancer.local_requests_except(service, version)
+        };
+        self.rollouts.borrow().reports(old_requests, now)
+    }
+
     fn notices(&self, now: Instant) -> Notices {
         let balancer = self.balancer.borrow();
         Notices {
@@ -180,7 +196,10 @@
                 parts: self.crashing_parts.borrow().reports(now),
                 requests: self.crashes.borrow().reports(now),
             },
-            extension: StatusExtension::default(),
+            extension: StatusExtension {
+                rollouts: self.rollout_reports(now),
+                ..StatusExtension::default()
+            },
         }
     }
 
@@ -211,6 +230,14 @@
             update.is_new_run,
             now,
         );
+        let sender = (IpAddr::V4(from), status.run);
+        let mut rollouts = self.rollouts.borrow_mut();
+        for service in rollouts.apply_reports(sender, &status.extension.rollouts, now) {
+            if let Some(state) = rollouts.rollout(&service).and_then(|one| one.state.as_ref()) {
+                log_step(&service, state, None);
+            }
+        }
+        drop(rollouts);
         let mut crashes = self.crashes.borrow_mut();
         if status.crash_reports.requests.is_empty() {
             crashes.merge_counts(&status.crashes, now);
@@ -250,11 +277,12 @@
         let counts = self.crashes.borrow().recent_counts();
         let crashes: u64 = counts.iter().map(|count| u64::from(count.crashes)).sum();
         stable_hash(&format!(
-            "{versions:?} {} {} {crashes} {} {}",
+            "{versions:?} {} {} {crashes} {} {} {}",
             self.is_ready(),
             self.is_leaving.get(),
             self.balancer.borrow().leaving_count(),
-            self.crashing_parts.borrow().revision()
+            self.crashing_parts.borrow().revision(),
+            self.rollouts.borrow().known_steps()
         ))
     }
 
--- a/src/node/platform_adapter.rs
+++ b/src/node/platform_adapter.rs
@@ -5,7 +5,7 @@
 use crate::fleet::InstanceRegistry;
 use crate::forward::Codec;
 use crate::http::Handler;
-use crate::node::NodeState;
+use crate::node::{NodeState, RolloutTable};
 use crate::replica::RowSource;
 use crate::roles::LeaseTable;
 
@@ -14,7 +14,7 @@
 pub trait PlatformAdapter: Sized + 'static {
     type Codec: Codec;
     type Decoder: RowDecoder;
-    type Store: RowSource + InstanceRegistry + LeaseTable;
+    type Store: RowSource + InstanceRegistry + LeaseTable + RolloutTable;
     /// Handles callers' address lookups.
     type Lookup<C: Clock>: Handler;
     /// Handles the platform's readiness checks.
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -18,6 +18,7 @@
 use crate::node::node_handler::{CallerHandler, MetricsHandler, PeerHandler};
 use crate::node::peer_replicas::PeerReplicas;
 use crate::node::role_orders::coordinate_roles;
+use crate::node::rollout_orders::coordinate_rollouts;
 use crate::node::tasks::{apply_changes, run_discovery, run_maintenance};
 use crate::node::{NodeError, NodeSettings, NodeState, PlatformAdapter};
 use crate::replica::{PeerPull, RowChange, Topic};
@@ -153,6 +154,11 @@
         coordinate_roles(state).await;
         "role orders"
     });
+    let state = Rc::clone(node);
+    tasks.spawn_local(async move {
+        coordinate_rollouts(state).await;
+        "roll-outs"
+    });
     let (node, exchange) = (Rc::clone(node), Rc::clone(exchange));
     tasks.spawn_local(async move {
         exchange.run(node.as_ref()).await;
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -10,6 +10,7 @@
 use crate::fleet::InstanceRegistry;
 use crate::node::{NodeState, PlatformAdapter};
 use crate::replica::{RowChange, Topic};
+use crate::rollout::slack_part;
 
 /// Interval between checks for expired state.
 const MAINTENANCE_INTERVAL_MS: u64 = 100;
@@ -27,13 +28,16 @@
         let follower = node.follower(topic);
         match topic {
             Topic::Operator => {
+                let is_first = node.catalog.configuration().is_none();
                 node.catalog.apply_operator_rows(&follower.replica(), &rows);
                 apply_configuration(&node);
+                apply_rollout_orders(&node, is_first);
             }
             Topic::Endpoints => {
                 let endpoint_changes =
                     node.catalog.apply_endpoint_rows(&rows, follower.is_steady());
                 apply_endpoint_changes(&node, &endpoint_changes);
+                update_versions(&node);
             }
         }
     }
@@ -50,6 +54,42 @@
     node.quotas.borrow_mut().set_customers(configuration.customers(), now);
 }
 
+/// Applies orders to roll out a version. An instance that started after the order gets no part of
+/// the slack, which its predecessor at the same address may have used.
+fn apply_rollout_orders<A: PlatformAdapter, C: Clock>(node: &NodeState<A, C>, is_first: bool) {
+    let mut rollouts = node.rollouts.borrow_mut();
+    let Some(settings) = rollouts.settings().copied() else { return };
+    let members = node.members.borrow();
+    let is_slack_usable = !is_first && members.is_settled(node.clock.now());
+    let (index, instances) = members.own_position();
+    for (order, version) in node.catalog.rollout_orders() {
+        let slack_requests = match is_slack_usable {
+            true => slack_part(settings.exposure_slack, index, instances),
+            false => 0,
+        };
+        let (service, target) = (order.service.clone(), order.target.clone());
+        let deadline_ms = order.deadline_ms;
+        if rollouts.apply_order(order, version, slack_requests) {
+            log::info!(target: "rollout", service = service.as_str(),
+                target_version = target.as_str(), order = version, deadline_ms = deadline_ms,
+                slack_requests = slack_requests; "roll-out ordered");
+        }
+    }
+}
+
+/// Holds versions that appear without an order for a while.
+fn update_versions<A: PlatformAdapter, C: Clock>(node: &NodeState<A, C>) {
+    let mut rollouts = node.rollouts.borrow_mut();
+    if rollouts.settings().is_none() {
+        return;
+    }
+    let now = node.clock.now();
+    let balancer = node.balancer.borrow();
+    for service in balancer.services() {
+        rollouts.update_versions(service, &balancer.versions(service), now);
+    }
+}
+
 fn apply_endpoint_changes<A: PlatformAdapter, C: Clock>(
     node: &NodeState<A, C>,
     endpoint_changes: &[crate::catalog::EndpointChange],
@@ -66,7 +106,11 @@
     loop {
         tokio::time::sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
         let now = node.clock.now();
-        apply_endpoint_changes(&node, &node.catalog.take_expired());
+        let expired = node.catalog.take_expired();
+        if !expired.is_empty() {
+            apply_endpoint_changes(&node, &expired);
+            update_versions(&node);
+        }
         share_limits(&node, now);
         node.endpoints.close_expired();
         node.balancer.borrow_mut().expire_zone_loads(now);
--- a/tests/node/support.rs
+++ b/tests/node/support.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use almondroad::balance::{Balancer, DecodeQuery, PrefillQuery};
+use almondroad::balance::{ANY_VERSION, Balancer, DecodeQuery, PrefillQuery};
 use almondroad::catalog::{Endpoint, EndpointChange, EndpointRole, EngineProperties};
 use almondroad::clock::Instant;
 use almondroad::units::{EndpointId, ServiceId, Tokens, ZoneId};
@@ -32,6 +32,7 @@
         service: service(),
         address: ([127, 0, 0, 1], port).into(),
         zone: ZoneId::new(zone),
+        version: "v1".into(),
         slots: 6,
         is_leaving: false,
         role,
@@ -53,7 +54,7 @@
 }
 
 pub fn prefill<'a>(service: &'a ServiceId, prompt_tokens: u64) -> PrefillQuery<'a> {
-    PrefillQuery { service, prompt_tokens, excluded: &[] }
+    PrefillQuery { service, prompt_tokens, excluded: &[], versions: &ANY_VERSION }
 }
 
 pub fn decode<'a>(service: &'a ServiceId, memory_tokens: u64) -> DecodeQuery<'a> {
@@ -65,5 +66,6 @@
         preferred_zone: None,
         engine: ENGINE,
         excluded: &[],
+        versions: &ANY_VERSION,
     }
 }
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -22,6 +22,10 @@
     mod replica;
     mod retry_window;
     mod roles;
+    mod rollout_decider;
+    mod rollout_fleet;
+    mod rollout_verdict;
+    mod rollout_versions;
     mod send_count;
     pub mod support;
     mod wait_queue;
