--- a/src/fleet/status_extension.rs
+++ b/src/fleet/status_extension.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission::ServiceReport;
+use crate::rollout::RolloutReport;
 
 /// What newer parts of an instance tell their peers. Each field is empty unless a deployment's
 /// configuration or settings call for the part.
@@ -11,7 +12,7 @@
     /// Speeds of endpoints.
     pub speeds: Vec<u8>,
     /// Answers of the versions of services that are rolled out.
-    pub rollouts: Vec<u8>,
+    pub rollouts: Vec<RolloutReport>,
 }
 
 impl StatusExtension {
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -19,6 +19,7 @@
 use crate::forward::{Codec, CrashCounts, EndpointClient, Refusal, RequestLabels};
 use crate::http::{Handler, MemoryAccount, ResponseBody};
 use crate::quota::Quotas;
+use crate::rollout::Rollouts;
 use crate::units::ServiceId;
 
 /// Components of an instance that the forwarder uses.
@@ -29,6 +30,7 @@
     pub quotas: Rc<RefCell<Quotas>>,
     pub crashes: Rc<RefCell<CrashCounts>>,
     pub crashing_parts: Rc<RefCell<CrashingParts>>,
+    pub rollouts: Rc<RefCell<Rollouts>>,
     pub retry_limits: RetryLimits,
     /// Account of the memory of callers' request bodies.
     pub bodies: MemoryAccount,
--- a/src/forward/placement.rs
+++ b/src/forward/placement.rs
@@ -65,6 +65,9 @@
             let now = self.parts.clock.now();
             if ticket.is_next(now) || source_zone.is_some() {
                 let fill_fraction = self.fill_fraction(context, now > due_at, now);
+                if source_zone.is_none() {
+                    self.choose_versions(context);
+                }
                 match self.plan(context, source_zone, fill_fraction, now) {
                     Ok(plan) => {
                         if let Some(plan) = self.reserve_plan(context, plan).await {
@@ -74,6 +77,7 @@
                         }
                         continue;
                     }
+                    Err(_) if source_zone.is_none() && self.leave_new_version(context) => continue,
                     Err(
                         error @ (PlacementError::NoEndpoint | PlacementError::AllPaused { .. }),
                     ) => {
--- a/src/node/node_settings.rs
+++ b/src/node/node_settings.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::balance::RetryLimits;
+use crate::rollout::RolloutSettings;
 use crate::units::{InstanceId, ZoneId};
 
 /// Settings of an instance, read from a JSON file with comments.
@@ -43,6 +44,22 @@
     pub order_turn_ms: u64,
     #[serde(default)]
     pub machine: MachineLimits,
+    /// Parts of the rules that are in force.
+    #[serde(default)]
+    pub contracts: Vec<SmolStr>,
+    /// Limits of roll-outs. Without them or without their contract there are none.
+    pub rollout: Option<RolloutSettings>,
+}
+
+/// Contract under which roll-outs are ordered.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
+impl NodeSettings {
+    /// Limits of roll-outs; `None` if the deployment has none.
+    pub fn rollout_settings(&self) -> Option<RolloutSettings> {
+        let is_named = self.contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT);
+        self.rollout.filter(|_| is_named)
+    }
 }
 
 /// Limits of the machine, above which the platform ends the process.
