--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -340,6 +340,11 @@
         others.map(|state| state.local_load.requests).sum()
     }
 
+    /// Number of endpoints whose pace is being found.
+    pub fn paced_count(&self) -> usize {
+        self.endpoints.values().filter(|state| state.pace.limit().is_some()).count()
+    }
+
     pub fn len(&self) -> usize {
         self.endpoints.len()
     }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -271,11 +271,17 @@
     (unit_ms, response_ms): (Option<f64>, f64),
     now: Instant,
 ) -> bool {
+    let before = state.pace.limit();
     let has_recovered = state.health.take_recovered();
     if std::mem::take(&mut state.is_returning) || has_recovered {
         state.pace.begin(unit_ms, response_ms, now);
     }
     state.pace.advance(state.endpoint.slots, now);
+    if state.pace.limit() != before {
+        log::info!(target: "balance", endpoint = state.endpoint.id.as_str(),
+            limit = state.pace.limit(), limit_before = before, has_recovered = has_recovered;
+            "pace changed");
+    }
     let Some(limit) = state.pace.limit() else { return true };
     state.local_load.requests < turns.part(state.key, limit)
 }
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -152,6 +152,7 @@
     }
     gauge!("almondroad_node_live_instances").set(node.members.borrow().live_count() as f64);
     gauge!("almondroad_node_endpoints").set(node.balancer.borrow().len() as f64);
+    gauge!("almondroad_node_paced_endpoints").set(node.balancer.borrow().paced_count() as f64);
     gauge!("almondroad_node_requests_in_flight").set(f64::from(node.in_flight.get()));
 }
 
