--- a/src/node/node_settings.rs
+++ b/src/node/node_settings.rs
@@ -44,6 +44,10 @@
     pub order_turn_ms: u64,
     #[serde(default)]
     pub machine: MachineLimits,
+    /// Whether the pace of endpoints that start or recover is found from their answers, where the
+    /// configuration gives no cold rates.
+    #[serde(default)]
+    pub finds_pace: bool,
     /// Parts of the rules that are in force.
     #[serde(default)]
     pub contracts: Vec<SmolStr>,
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -53,7 +53,7 @@
         balancer.set_cold_rate(service.id.clone(), service.cold_requests_per_s);
         has_cold_rates |= service.cold_requests_per_s.is_some();
     }
-    balancer.set_paced(!has_cold_rates);
+    balancer.set_paced(node.settings.finds_pace && !has_cold_rates);
     let now = node.clock.now();
     node.quotas.borrow_mut().set_customers(configuration.customers(), now);
 }
