--- a/src/fleet/status_extension.rs
+++ b/src/fleet/status_extension.rs
@@ -9,8 +9,6 @@
 pub struct StatusExtension {
     /// Demand of the sender's callers by rank: what waits, arrives, is admitted and refused.
     pub waiting: Vec<ServiceReport>,
-    /// Speeds of endpoints.
-    pub speeds: Vec<u8>,
     /// Answers of the versions of services that are rolled out.
     pub rollouts: Vec<RolloutReport>,
 }
