--- a/src/catalog/service_configuration.rs
+++ b/src/catalog/service_configuration.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use smol_str::SmolStr;
@@ -15,6 +15,10 @@
     services: HashMap<ServiceId, Rc<Service>>,
     customers: Vec<Rc<Customer>>,
     keys: HashMap<SmolStr, Rc<Customer>>,
+    /// Priority of the first route of each service, and the services whose routes differ in it.
+    route_priorities: HashMap<ServiceId, u8>,
+    ranked_services: HashSet<ServiceId>,
+    has_customer_priorities: bool,
 }
 
 impl ServiceConfiguration {
@@ -23,6 +27,13 @@
     }
 
     pub fn add_route(&mut self, route: Route) {
+        for target in &route.targets {
+            let priorities = &mut self.route_priorities;
+            let first = priorities.entry(target.service.clone()).or_insert(route.priority);
+            if *first != route.priority {
+                self.ranked_services.insert(target.service.clone());
+            }
+        }
         let paths = self.hosts.entry(route.host.clone()).or_default();
         paths.insert(route.path_prefix.clone(), Rc::new(route));
     }
@@ -32,6 +43,7 @@
     }
 
     pub fn add_customer(&mut self, customer: Customer, keys: impl IntoIterator<Item = SmolStr>) {
+        self.has_customer_priorities |= customer.priority.is_some();
         let customer = Rc::new(customer);
         self.keys.extend(keys.into_iter().map(|key| (key, Rc::clone(&customer))));
         self.customers.push(customer);
@@ -57,6 +69,11 @@
         &self.customers
     }
 
+    /// Whether requests that compete for the endpoints of a service may differ in priority.
+    pub fn has_ranks(&self, service: &ServiceId) -> bool {
+        self.has_customer_priorities || self.ranked_services.contains(service)
+    }
+
     /// Whether routes that are not public require an API key.
     pub fn requires_keys(&self) -> bool {
         !self.customers.is_empty()
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -2,11 +2,15 @@
 //! selects an endpoint and returns its response. Bodies are opaque; a `Codec` reads and writes the
 //! message heads.
 
+mod admission_log;
+mod admit;
 mod caller_request;
 mod codec;
 mod connection;
 mod connection_pool;
+mod crash_check;
 mod crash_counts;
+mod decode;
 mod end_detector;
 mod endpoint_body;
 mod endpoint_client;
@@ -17,12 +21,21 @@
 mod generate;
 mod label_set;
 mod memory_reservation;
+mod open_stream;
+mod placement;
 mod plain;
+mod plan;
+mod prefill;
 mod refusal;
+mod refuse;
 mod release_guard;
+mod request_body;
 mod request_context;
 mod request_log;
+mod responses;
+mod sends;
 mod stream_relay;
+mod versions;
 
 pub use caller_request::{CallerRequest, Generation};
 pub use codec::{Codec, MalformedRequest, PrefillOutput, ResponseKind};
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -1,23 +1,31 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use crate::balance::{Balancer, Load, SendCount};
+use crate::admission::Rank;
+use crate::balance::{ANY_VERSION, Balancer, Load, MemoryEstimate, SendCount, VersionFilter};
 use crate::catalog::{Customer, Route, Service};
 use crate::clock::{Clock, Instant};
 use crate::forward::CallerRequest;
 use crate::forward::request_log::RequestLog;
 use crate::quota::Quotas;
+use crate::rollout::VersionChoice;
 use crate::units::{EndpointId, OrganisationId, Tokens};
 
+/// Queue penalty for each token that a request is expected to generate, because it occupies its
+/// memory for as long as it generates.
+const QUEUE_PENALTY_MS_PER_TOKEN: f64 = 0.3;
+
 /// State of an admitted request until it ends.
 pub struct RequestContext<C: Clock> {
     pub request: CallerRequest,
     pub route: Rc<Route>,
     pub service: Rc<Service>,
     pub customer: Option<Rc<Customer>>,
+    /// `None` if all requests have the same priority.
+    pub rank: Option<Rank>,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
-    pub charge: QuotaCharge<C>,
+    pub charge: QuotaCharge,
     pub log: RequestLog<C>,
     /// Sends that count against the service's retry limit.
     pub sends: SendCount,
@@ -25,6 +33,8 @@
     pub runs: u32,
     /// Endpoints that the request is not sent to again.
     pub excluded: Vec<EndpointId>,
+    /// Versions that the next attempt may go to; `None` before the first one is prepared.
+    pub versions: Option<VersionChoice>,
 }
 
 impl<C: Clock> RequestContext<C> {
@@ -32,6 +42,14 @@
         self.customer.as_ref().map(|customer| &customer.organisation)
     }
 
+    /// Returns the organisation that shares the room with others of its rank, and its rate; `None`
+    /// if all requests have the same priority.
+    pub fn share(&self) -> Option<(&OrganisationId, Option<u64>)> {
+        self.rank?;
+        let customer = self.customer.as_ref()?;
+        Some((&customer.organisation, customer.rate.map(|rate| rate.get())))
+    }
+
     /// Returns whether the request may be sent to another endpoint if the current one fails.
     pub fn may_run_elsewhere(&self) -> bool {
         self.route.kind.is_retryable() && self.runs + 1 < self.route.max_endpoints
@@ -41,22 +59,52 @@
     pub fn may_run_again(&self) -> bool {
         self.route.kind.is_retryable() && self.runs < self.route.max_endpoints
     }
+
+    /// Versions that the next attempt may go to.
+    pub fn version_filter(&self) -> &VersionFilter {
+        self.versions.as_ref().map_or(&ANY_VERSION, |choice| &choice.filter)
+    }
+
+    /// Tokens of the prompt; 0 unless the request is a generation.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.request.generation.as_ref().map_or(0, |size| size.prompt_tokens)
+    }
+
+    /// Returns the queue penalty that orders a request behind smaller ones.
+    pub fn queue_penalty_ms(&self) -> u64 {
+        let size = self.request.generation.as_ref();
+        let tokens = size.and_then(|size| size.expected_output_tokens).unwrap_or(0);
+        (tokens as f64 * QUEUE_PENALTY_MS_PER_TOKEN) as u64
+    }
+
+    /// Returns the KV cache memory that the generation needs at a decode engine.
+    pub fn memory_estimate(&self) -> MemoryEstimate {
+        let capacity = self.service.engine.map_or(u64::MAX, |engine| engine.kv_capacity.get());
+        self.request.generation.as_ref().map_or(MemoryEstimate::new(0, None, 0, capacity), |size| {
+            let expected_output = size.expected_output_tokens;
+            MemoryEstimate::new(
+                size.prompt_tokens,
+                expected_output,
+                size.max_output_tokens,
+                capacity,
+            )
+        })
+    }
 }
 
 /// Quota tokens charged for a request. Dropping it refunds them unless the request may have run.
-pub struct QuotaCharge<C: Clock> {
-    pub clock: C,
+pub struct QuotaCharge {
     pub quotas: Rc<RefCell<Quotas>>,
     pub organisation: Option<OrganisationId>,
     pub tokens: Tokens,
+    pub charged_at: Instant,
     pub has_run: bool,
 }
 
-impl<C: Clock> Drop for QuotaCharge<C> {
+impl Drop for QuotaCharge {
     fn drop(&mut self) {
         if let (false, Some(organisation)) = (self.has_run, &self.organisation) {
-            let now = self.clock.now();
-            self.quotas.borrow_mut().refund(organisation, self.tokens, now);
+            self.quotas.borrow_mut().refund(organisation, self.tokens, self.charged_at);
         }
     }
 }
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -9,7 +9,7 @@
 
 use crate::catalog::RowDecoder;
 use crate::clock::{Clock, Instant};
-use crate::forward::generate::{OpenStream, Opened};
+use crate::forward::decode::{OpenStream, Opened};
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder};
 use crate::http::BrokenStream;
@@ -76,13 +76,13 @@
         record_stream_failure(forwarder, &mut context, &stream, &error);
         // A failed stream is closed before it is resumed, so that the first engine stops working on
         // it. A stream that only timed out stays open as a fallback in case no other engine can
-        // resume it.
-        let stalled_stream = (error == EndpointError::Timeout).then_some(stream);
+        // resume it, until another one works on the request.
+        let mut stalled_stream = (error == EndpointError::Timeout).then_some(stream);
         if stalled_stream.is_none() && !context.may_run_again() {
             context.log.set_outcome("broken_off");
             return Err(BrokenStream);
         }
-        let resumed = resume(forwarder, &mut context, &progress, events).await;
+        let resumed = resume(forwarder, &mut context, &progress, &mut stalled_stream, events).await;
         let resumed = resumed.filter(|resumed| {
             let is_same_type = resumed.head.headers.get(CONTENT_TYPE) == content_type.as_ref();
             if !is_same_type {
@@ -107,6 +107,7 @@
     stream: &OpenStream,
     error: &EndpointError,
 ) {
+    forwarder.record_version_failure(context, &stream.endpoint, error);
     let endpoint = &stream.load.endpoint;
     context.log.record_send("stream", endpoint.as_str(), error.code());
     if let Some(state) = forwarder.parts.balancer.borrow_mut().endpoint_mut(endpoint) {
@@ -125,10 +126,11 @@
     forwarder: &Forwarder<K, D, C>,
     context: &mut RequestContext<C>,
     progress: &EventSplitter,
+    stalled_stream: &mut Option<OpenStream>,
     events: &Events,
 ) -> Option<OpenStream> {
     let opened = tokio::select! {
-        opened = forwarder.open_stream(context, progress) => opened,
+        opened = forwarder.open_stream(context, progress, stalled_stream) => opened,
         () = events.closed() => return None,
     };
     match opened {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A request router for model inference with separate prefill and decode pools. See
 //! `docs/design.md` for the design.
 
+pub mod admission;
 pub mod balance;
 pub mod bench;
 pub mod budget;
@@ -26,6 +27,7 @@
 pub mod quota;
 pub mod replica;
 pub mod roles;
+pub mod rollout;
 pub mod route;
 pub mod serve;
 pub mod settings;
--- a/src/node/node_settings.rs
+++ b/src/node/node_settings.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::balance::RetryLimits;
+use crate::rollout::RolloutSettings;
 use crate::units::{InstanceId, ZoneId};
 
 /// Settings of an instance, read from a JSON file with comments.
@@ -41,6 +42,45 @@
     /// Time after one instance's orders to engines during which no other instance gives any.
     #[serde(default = "default_order_turn_ms")]
     pub order_turn_ms: u64,
+    #[serde(default)]
+    pub machine: MachineLimits,
+    /// Whether the pace of endpoints that start or recover is found from their answers, where the
+    /// configuration gives no cold rates.
+    #[serde(default)]
+    pub finds_pace: bool,
+    /// Parts of the rules that are in force.
+    #[serde(default)]
+    pub contracts: Vec<SmolStr>,
+    /// Limits of roll-outs. Without them or without their contract there are none.
+    pub rollout: Option<RolloutSettings>,
+}
+
+/// Contract under which roll-outs are ordered.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
+impl NodeSettings {
+    /// Limits of roll-outs; `None` if the deployment has none.
+    pub fn rollout_settings(&self) -> Option<RolloutSettings> {
+        let is_named = self.contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT);
+        self.rollout.filter(|_| is_named)
+    }
+}
+
+/// Limits of the machine, above which the platform ends the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MachineLimits {
+    pub memory_mb: u64,
+    /// Maximum number of open file descriptors, including those that the platform reserves for
+    /// files.
+    pub max_descriptors: u64,
+}
+
+impl Default for MachineLimits {
+    /// Limits of a machine whose settings name none.
+    fn default() -> MachineLimits {
+        MachineLimits { memory_mb: 256, max_descriptors: 4_096 }
+    }
 }
 
 /// Limit on retries of requests, per service and for all instances together.
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
@@ -9,20 +10,27 @@
 use crate::catalog::Catalog;
 use crate::clock::{Clock, Instant};
 use crate::crashes::{CrashReports, CrashingParts};
-use crate::fleet::{Members, Notices, PeerUpdate, Status, StatusHandler, ZoneLoads};
+use crate::fleet::{
+    Members, Notices, PeerUpdate, Status, StatusExtension, StatusHandler, ZoneLoads,
+};
 use crate::forward::{
     ConnectionPool, CrashCounts, EndpointClient, EndpointClientParts, Forwarder, ForwarderParts,
 };
 use crate::hash::stable_hash;
+use crate::http::ClientLimits;
+use crate::node::rollout_orders::log_step;
 use crate::node::{NodeSettings, PlatformAdapter};
 use crate::quota::Quotas;
 use crate::replica::{Follower, RowChange, Topic};
+use crate::rollout::{RolloutReport, Rollouts};
+use crate::units::ServiceId;
 
 type ChangeFeed = mpsc::UnboundedReceiver<(Topic, Vec<RowChange>)>;
 
 /// Shared state and components of a running instance.
 pub struct NodeState<A: PlatformAdapter, C: Clock> {
     pub settings: NodeSettings,
+    pub client_limits: ClientLimits,
     pub clock: C,
     pub store: Rc<A::Store>,
     pub catalog: Rc<Catalog<A::Decoder, C>>,
@@ -32,6 +40,7 @@
     pub crashing_parts: Rc<RefCell<CrashingParts>>,
     pub endpoints: Rc<EndpointClient<A::Codec, C>>,
     pub members: Rc<RefCell<Members>>,
+    pub rollouts: Rc<RefCell<Rollouts>>,
     pub forwarder: Rc<Forwarder<A::Codec, A::Decoder, C>>,
     /// Followers of the store's tables, by `Topic::index`.
     pub followers: [Rc<Follower<A::Store, C>>; 2],
@@ -49,10 +58,15 @@
 impl<A: PlatformAdapter, C: Clock> NodeState<A, C> {
     pub fn new(adapter: &A, settings: NodeSettings, clock: C) -> (Rc<NodeState<A, C>>, ChangeFeed) {
         let now = clock.now();
+        let machine = settings.machine;
+        let client_limits = ClientLimits::for_machine(machine.memory_mb, machine.max_descriptors);
         let (sender, changes) = mpsc::unbounded_channel();
         let store = Rc::new(adapter.store());
         let catalog = Rc::new(Catalog::new(adapter.decoder(), clock.clone()));
-        let balancer = Rc::new(RefCell::new(Balancer::new(settings.zone.clone())));
+        let mut balancer = Balancer::new(settings.zone.clone());
+        // No service is named until a configuration is known.
+        balancer.set_named_services(HashSet::new());
+        let balancer = Rc::new(RefCell::new(balancer));
         let rate_window_ms = (settings.rate_window_s * 1000.0) as u64;
         let quotas = Quotas::new(rate_window_ms, !settings.is_first_start);
         let quotas = Rc::new(RefCell::new(quotas));
@@ -71,6 +85,8 @@
         let retry_limits = settings.retry.limits();
         let extra_retries_from =
             if settings.is_first_start { now } else { now.plus_ms(retry_limits.window_ms) };
+        let rollouts = Rollouts::new(settings.rollout_settings());
+        let rollouts = Rc::new(RefCell::new(rollouts));
         let forwarder = Forwarder::new(ForwarderParts {
             catalog: Rc::clone(&catalog),
             balancer: Rc::clone(&balancer),
@@ -78,8 +94,10 @@
             crashes: Rc::clone(&crashes),
             crashing_parts: Rc::clone(&crashing_parts),
             endpoints: Rc::clone(&endpoints),
+            rollouts: Rc::clone(&rollouts),
             retry_limits,
             extra_retries_from,
+            bodies: client_limits.bodies.clone(),
             clock: clock.clone(),
         });
         let members = Rc::new(RefCell::new(members));
@@ -89,6 +107,7 @@
         });
         let state = NodeState {
             settings,
+            client_limits,
             clock,
             store,
             catalog,
@@ -98,6 +117,7 @@
             crashing_parts,
             endpoints,
             members,
+            rollouts,
             forwarder,
             followers,
             is_leaving: Cell::new(false),
@@ -120,6 +140,14 @@
         self.followers.iter().all(|follower| follower.is_steady())
     }
 
+    fn rollout_reports(&self, now: Instant) -> Vec<RolloutReport> {
+        let balancer = self.balancer.borrow();
+        let old_requests = |service: &ServiceId, version: &SmolStr| {
+            balancer.local_requests_except(service, version)
+        };
+        self.rollouts.borrow().reports(old_requests, now)
+    }
+
     fn notices(&self, now: Instant) -> Notices {
         let balancer = self.balancer.borrow();
         Notices {
@@ -178,6 +206,11 @@
                 parts: self.crashing_parts.borrow().reports(now),
                 requests: self.crashes.borrow().reports(now),
             },
+            extension: StatusExtension {
+                waiting: self.forwarder.demand_reports(now),
+                rollouts: self.rollout_reports(now),
+                ..StatusExtension::default()
+            },
         }
     }
 
@@ -208,6 +241,15 @@
             update.is_new_run,
             now,
         );
+        self.forwarder.record_peer_demand(IpAddr::V4(from), status.extension.waiting, now);
+        let sender = (IpAddr::V4(from), status.run);
+        let mut rollouts = self.rollouts.borrow_mut();
+        for service in rollouts.apply_reports(sender, &status.extension.rollouts, now) {
+            if let Some(state) = rollouts.rollout(&service).and_then(|one| one.state.as_ref()) {
+                log_step(&service, state, None);
+            }
+        }
+        drop(rollouts);
         let mut crashes = self.crashes.borrow_mut();
         if status.crash_reports.requests.is_empty() {
             crashes.merge_counts(&status.crashes, now);
@@ -247,11 +289,12 @@
         let counts = self.crashes.borrow().recent_counts();
         let crashes: u64 = counts.iter().map(|count| u64::from(count.crashes)).sum();
         stable_hash(&format!(
-            "{versions:?} {} {} {crashes} {} {}",
+            "{versions:?} {} {} {crashes} {} {} {}",
             self.is_ready(),
             self.is_leaving.get(),
             self.balancer.borrow().leaving_count(),
-            self.crashing_parts.borrow().revision()
+            self.crashing_parts.borrow().revision(),
+            self.rollouts.borrow().known_steps()
         ))
     }
 
@@ -263,5 +306,7 @@
         log::info!(target: "fleet", peer = peer.to_string().as_str(),
             live = self.members.borrow().live_count(); "peer lost");
         self.balancer.borrow_mut().remove_peer(IpAddr::V4(peer), self.clock.now());
+        self.quotas.borrow_mut().remove_peer(IpAddr::V4(peer));
+        self.forwarder.remove_peer_demand(IpAddr::V4(peer));
     }
 }
