Send urgent statuses at their interval in small fleets

Cause by reading: the exchange asked every 30 ms whether a status is due, so that the urgent interval of 37 ms of a small fleet became 60 ms, and loads of peers were older. Change: it sleeps for the time that remains, 30 ms at most.

--- a/src/fleet/heartbeat_exchange.rs
+++ b/src/fleet/heartbeat_exchange.rs
@@ -19,8 +19,8 @@
     StatusTimer, ZoneLoads,
 };
 
-/// Interval between checks whether a status to all peers is due.
-const TIMER_STEP_MS: u64 = 30;
+/// Longest time between two checks whether a status to all peers has become urgent.
+const MAX_TIMER_STEP_MS: u64 = 30;
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Interval between two statuses with loads to the same collector, and between two reports of a
@@ -160,8 +160,11 @@
         let mut timer = StatusTimer::new(Instant::default());
         loop {
             let interval_ms = self.members.borrow().interval_ms();
-            if !timer.take_due(interval_ms, handler.is_urgent(), self.clock.now()) {
-                tokio::time::sleep(Duration::from_millis(TIMER_STEP_MS)).await;
+            let (is_urgent, now) = (handler.is_urgent(), self.clock.now());
+            if !timer.take_due(interval_ms, is_urgent, now) {
+                let remaining_ms = timer.remaining_ms(interval_ms, is_urgent, now);
+                tokio::time::sleep(Duration::from_millis(remaining_ms.min(MAX_TIMER_STEP_MS)))
+                    .await;
                 continue;
             }
             if self.members.borrow().is_divided_by_zone() {
--- a/src/fleet/status_timer.rs
+++ b/src/fleet/status_timer.rs
@@ -17,11 +17,16 @@
 
     /// Returns whether a status is due, which is then taken as sent.
     pub fn take_due(&mut self, interval_ms: u64, is_urgent: bool, now: Instant) -> bool {
-        let pause_ms = if is_urgent { interval_ms / URGENT_INTERVAL_DIVISOR } else { interval_ms };
-        let is_due = now.ms_since(self.sent_at) >= pause_ms;
+        let is_due = self.remaining_ms(interval_ms, is_urgent, now) == 0;
         if is_due {
             self.sent_at = now;
         }
         is_due
     }
+
+    /// Time until a status is due if nothing changes.
+    pub fn remaining_ms(&self, interval_ms: u64, is_urgent: bool, now: Instant) -> u64 {
+        let pause_ms = if is_urgent { interval_ms / URGENT_INTERVAL_DIVISOR } else { interval_ms };
+        pause_ms.saturating_sub(now.ms_since(self.sent_at))
+    }
 }
