--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -209,7 +209,6 @@
             extension: StatusExtension {
                 waiting: self.forwarder.demand_reports(now),
                 rollouts: self.rollout_reports(now),
-                ..StatusExtension::default()
             },
         }
     }
