--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! Usage: standin-2 CASE NODE_PROGRAM RECORD_FILE; the variable TROUBLE=0 leaves the disruption out.
 
 mod common;
+mod crowd;
 mod half_way;
 mod planned_stop;
 
@@ -24,6 +25,7 @@
     let outcome = match case.as_str() {
         "planned-stop" => planned_stop::play(node, has_trouble, &record),
         "half-way" => half_way::play(node, has_trouble, &record),
+        "crowd" => crowd::play(node, has_trouble, &record),
         _ => Outcome::Unplayed,
     };
     let (word, code) = match outcome {
