--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -211,7 +211,6 @@
         self.changed.notify_all();
     }
 
-
     pub fn start(self: &Arc<Self>, ip: IpAddr, started_at: Instant) -> SocketAddr {
         let store = Arc::clone(self);
         listen(ip, move |mut wire| {
--- a/review/standin-2/half_way.rs
+++ b/review/standin-2/half_way.rs
@@ -112,7 +112,8 @@
     request.extend(body);
     wire.send(request)?;
     thread::sleep(Duration::from_millis(200));
-    let fields = "Model: m\r\nToken-Counts: 3000,72\r\nPrompt-Prefix: 5c1e07a2:200,91bd3f06:2800\r\n";
+    let fields =
+        "Model: m\r\nToken-Counts: 3000,72\r\nPrompt-Prefix: 5c1e07a2:200,91bd3f06:2800\r\n";
     let mut prompt = head("POST", "/pose/7", &format!("c{client}-prompt"), 14_000).into_bytes();
     prompt.extend(format!("{fields}Content-Length: {PROMPT_BYTES}\r\n\r\n").into_bytes());
     prompt.extend([b'x'; PROMPT_BYTES]);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod crowd;
 mod half_way;
 mod planned_stop;
+mod unread_metrics;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -23,9 +24,10 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let record = common::Record::new();
     let outcome = match case.as_str() {
+        "unread-metrics" => unread_metrics::play(node, has_trouble, &record),
+        "crowd" => crowd::play(node, has_trouble, &record),
         "planned-stop" => planned_stop::play(node, has_trouble, &record),
         "half-way" => half_way::play(node, has_trouble, &record),
-        "crowd" => crowd::play(node, has_trouble, &record),
         _ => Outcome::Unplayed,
     };
     let (word, code) = match outcome {
