--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod crowd;
 mod half_way;
 mod planned_stop;
+mod spoiled_answer;
 mod unread_metrics;
 
 use std::path::Path;
@@ -28,6 +29,7 @@
         "crowd" => crowd::play(node, has_trouble, &record),
         "planned-stop" => planned_stop::play(node, has_trouble, &record),
         "half-way" => half_way::play(node, has_trouble, &record),
+        "spoiled-answer" => spoiled_answer::play(node, has_trouble, &record),
         _ => Outcome::Unplayed,
     };
     let (word, code) = match outcome {
