Show a process that hangs on a request of many prompt parts (review/7)

Cause, by reading: CrashingParts::is_cause compares each part of a request with all records and searches the parts again for each of them, for every request, on the only thread. No product code. Conclusion: one crashing request with many parts stops an instance for as long as its clients repeat it.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,10 +2,10 @@
 //! Usage: standin-2 CASE NODE_PROGRAM RECORD_FILE; the variable TROUBLE=0 leaves the disruption out.
 
 mod common;
+mod crashing_parts;
 mod crowd;
 mod half_way;
 mod planned_stop;
-mod spoiled_answer;
 mod unread_metrics;
 
 use std::path::Path;
@@ -26,10 +26,10 @@
     let record = common::Record::new();
     let outcome = match case.as_str() {
         "unread-metrics" => unread_metrics::play(node, has_trouble, &record),
+        "crashing-parts" => crashing_parts::play(node, has_trouble, &record),
         "crowd" => crowd::play(node, has_trouble, &record),
         "planned-stop" => planned_stop::play(node, has_trouble, &record),
         "half-way" => half_way::play(node, has_trouble, &record),
-        "spoiled-answer" => spoiled_answer::play(node, has_trouble, &record),
         _ => Outcome::Unplayed,
     };
     let (word, code) = match outcome {
