--- a/review/standin-2/crashing_parts.rs
+++ b/review/standin-2/crashing_parts.rs
@@ -20,7 +20,7 @@
 /// Parts of the prompt of the request that crashes engines.
 const PARTS: usize = 1_000;
 /// Clients that repeat this request, and for how long.
-const REPEATING: usize = 12;
+const REPEATING: usize = 24;
 const LENGTH: Duration = Duration::from_secs(10);
 /// Bookings of sound clients, each on a connection of its own.
 const BOOKINGS: usize = 20;
