--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -2,7 +2,6 @@
 //! as a process of its own. Uses the standard library only.
 
 use std::collections::BTreeMap;
-use std::fmt::Write as _;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -12,8 +11,12 @@
 use std::time::{Duration, Instant};
 
 /// Host and key of all requests.
-pub const HOST: &str = "hire.example";
-pub const KEY: &str = "key-of-the-desk";
+const HOST: &str = "hire.example";
+const KEY: &str = "key-of-the-desk";
+/// `timeout_ms` of bookings and look-ups.
+pub const DESK_TIMEOUT_MS: u64 = 2_000;
+/// Start of the servers' first processes.
+pub const BORN_MS: u64 = 1_790_000_000_000;
 /// Time within which the instance has to become ready.
 const READY_WITHIN: Duration = Duration::from_secs(20);
 
@@ -43,35 +46,38 @@
     }
 }
 
+/// Fields of a head.
+pub type Headers = Vec<(String, String)>;
+
+/// The value of a field.
+pub fn field<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.as_str())
+}
+
 /// A request as a stand-in has read it.
-#[derive(Clone, Debug, Default)]
 pub struct Request {
     pub target: String,
-    pub headers: Vec<(String, String)>,
+    headers: Headers,
 }
 
 impl Request {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
-    }
-
     pub fn attempt(&self) -> &str {
-        self.header("attempt-id").unwrap_or("")
+        field(&self.headers, "attempt-id").unwrap_or("")
     }
 
     /// Value of a parameter of the query.
-    pub fn parameter(&self, name: &str) -> String {
+    fn parameter(&self, name: &str) -> &str {
         let query = self.target.split_once('?').map_or("", |(_, query)| query);
-        let pair = query.split('&').filter_map(|pair| pair.split_once('='));
-        pair.into_iter().find(|(known, _)| *known == name).map_or(String::new(), |(_, v)| v.into())
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(known, _)| *known == name).map_or("", |(_, value)| value)
     }
 }
 
 /// A connection of which requests or responses are read.
 pub struct Wire {
     pub stream: TcpStream,
-    pub buffer: Vec<u8>,
+    buffer: Vec<u8>,
 }
 
 impl Wire {
@@ -81,7 +87,7 @@
     }
 
     /// Reads more bytes; `false` at the end of the connection.
-    pub fn fill(&mut self) -> io::Result<bool> {
+    fn fill(&mut self) -> io::Result<bool> {
         let mut part = [0; 16384];
         let length = self.stream.read(&mut part)?;
         self.buffer.extend_from_slice(&part[..length]);
@@ -110,7 +116,7 @@
     }
 
     /// Reads the head of a message: its first line and its fields.
-    pub fn read_head(&mut self) -> io::Result<(String, Vec<(String, String)>)> {
+    fn read_head(&mut self) -> io::Result<(String, Headers)> {
         let first = self.take_line()?;
         let mut headers = Vec::new();
         loop {
@@ -120,12 +126,8 @@
         }
     }
 
-    fn read_body(&mut self, headers: &[(String, String)]) -> io::Result<Vec<u8>> {
-        let field = |name: &str| {
-            let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
-            found.map(|(_, value)| value.to_ascii_lowercase())
-        };
-        if field("transfer-encoding").is_some_and(|coding| coding.contains("chunked")) {
+    fn read_body(&mut self, headers: &Headers) -> io::Result<Vec<u8>> {
+        if field(headers, "transfer-encoding").is_some_and(|coding| coding.contains("chunked")) {
             let mut body = Vec::new();
             loop {
                 let size = self.take_line()?;
@@ -138,7 +140,7 @@
                 body.extend_from_slice(&chunk[..size]);
             }
         }
-        match field("content-length").and_then(|length| length.parse().ok()) {
+        match field(headers, "content-length").and_then(|length| length.parse().ok()) {
             Some(length) => self.take(length),
             None => Ok(Vec::new()),
         }
@@ -146,14 +148,13 @@
 
     pub fn read_request(&mut self) -> io::Result<Request> {
         let (first, headers) = self.read_head()?;
-        let mut words = first.split(' ');
-        let target = words.nth(1).unwrap_or("").to_owned();
+        let target = first.split(' ').nth(1).unwrap_or("").to_owned();
         self.read_body(&headers)?;
         Ok(Request { target, headers })
     }
 
-    /// Reads a whole response: its status and its body.
-    pub fn read_response(&mut self) -> io::Result<(u16, Vec<(String, String)>, Vec<u8>)> {
+    /// Reads a whole response: its status, its fields and its body.
+    pub fn read_response(&mut self) -> io::Result<(u16, Headers, Vec<u8>)> {
         let (first, headers) = self.read_head()?;
         let status = first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
         let body = self.read_body(&headers)?;
@@ -169,11 +170,6 @@
 pub fn listen(ip: IpAddr, handle: impl Fn(Wire) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind((ip, 0)).expect("bind");
     let address = listener.local_addr().expect("address");
-    accept(listener, handle);
-    address
-}
-
-pub fn accept(listener: TcpListener, handle: impl Fn(Wire) + Send + Sync + 'static) {
     let handle = Arc::new(handle);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -181,6 +177,7 @@
             thread::spawn(move || handle(Wire::new(stream)));
         }
     });
+    address
 }
 
 /// A whole response with a body.
@@ -188,7 +185,8 @@
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
-/// The platform's store: rows whose versions come from one counter.
+/// The platform's store: rows whose versions come from one counter. Writes of the instance are taken and
+/// not kept: nobody reads them in these cases.
 #[derive(Default)]
 pub struct Store {
     state: Mutex<StoreState>,
@@ -211,8 +209,8 @@
         self.changed.notify_all();
     }
 
-    pub fn start(self: &Arc<Self>, ip: IpAddr, started_at: Instant) -> SocketAddr {
-        let store = Arc::clone(self);
+    fn start(self: &Arc<Self>, ip: IpAddr) -> SocketAddr {
+        let (store, started_at) = (Arc::clone(self), Instant::now());
         listen(ip, move |mut wire| {
             while let Ok(request) = wire.read_request() {
                 let body = store.answer(&request, started_at);
@@ -231,15 +229,13 @@
             "/v1/rows-feed" => {
                 let after = request.parameter("after").parse().unwrap_or(0);
                 let wait_ms = request.parameter("wait_ms").parse().unwrap_or(0);
-                self.feed(&table, after, Duration::from_millis(wait_ms))
+                self.feed(table, after, Duration::from_millis(wait_ms))
             }
             "/v1/rows-tx" => {
-                // The rows of the instance itself: its entry in the list of instances.
-                let mut state = self.state.lock().unwrap();
-                state.version += 1;
+                self.state.lock().unwrap().version += 1;
                 Vec::new()
             }
-            _ => rows(&self.state.lock().unwrap(), &table, 0),
+            _ => rows(&self.state.lock().unwrap(), table, 0),
         };
         let version = self.state.lock().unwrap().version.max(1);
         let now_ms = started_at.elapsed().as_millis();
@@ -291,21 +287,50 @@
     text
 }
 
-/// The entry of a server in the store. `phase` is that of an engine.
-pub fn server_entry(service: &str, address: SocketAddr, slots: u32, phase: Option<&str>) -> String {
+/// The entry of a server in the store. `phase` is that of an engine, `born_ms` the start of its process.
+pub fn server_entry(
+    service: &str,
+    address: SocketAddr,
+    slots: u32,
+    phase: Option<&str>,
+    born_ms: u64,
+) -> String {
     let phase = phase.map_or(String::new(), |phase| format!("\"phase\":\"{phase}\","));
     format!(
         "{{\"backend\":\"{service}\",\"address\":\"{address}\",\"zone\":\"khomas-a\",\
          \"version\":\"1\",\"slots\":{slots},{phase}\"state\":\"ready\",\"cold_remaining_ms\":0,\
-         \"sequence\":1,\"born\":1790000000000}}"
+         \"sequence\":1,\"born\":{born_ms}}}"
     )
 }
 
-/// Settings of an instance like those of a small deployment.
-pub struct Machine {
-    pub memory_mb: u64,
-    pub max_fds: u64,
-    pub grace_s: u64,
+/// The store with the configuration, and three sound servers of the booking application with `slots`
+/// each, which work on a request for `work`. `on_run` gets the number of the server and the attempt.
+pub fn start_site(
+    ip: IpAddr,
+    slots: u32,
+    work: Duration,
+    on_run: impl Fn(usize, &str) + Send + Sync + 'static,
+) -> Arc<Store> {
+    let store = Arc::new(Store::default());
+    store.set("op", "config", &configuration());
+    let on_run = Arc::new(on_run);
+    for index in 0..3 {
+        let on_run = Arc::clone(&on_run);
+        let address = listen(ip, move |mut wire| {
+            while let Ok(request) = wire.read_request() {
+                let attempt = request.attempt();
+                on_run(index, attempt);
+                thread::sleep(work);
+                let headers = format!("Attempt-Id: {attempt}\r\nResponse-Stamp: 3e1b.{index}\r\n");
+                if wire.send(response("200 OK", &headers, "done")).is_err() {
+                    return;
+                }
+            }
+        });
+        let entry = server_entry("hire-desk", address, slots, None, BORN_MS);
+        store.set("servers", &format!("i-{index}"), &entry);
+    }
+    store
 }
 
 /// The instance under test. Killed when dropped.
@@ -314,12 +339,13 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
-    pub settings: PathBuf,
 }
 
 impl Node {
-    /// Starts the program of the deploy file and waits until it says that it is ready.
-    pub fn start(binary: &str, ip: IpAddr, store: SocketAddr, machine: &Machine) -> Node {
+    /// Starts the program of the deploy file on a machine with the given memory, and waits until it says
+    /// that it is ready.
+    pub fn start(binary: &str, ip: IpAddr, store: &Arc<Store>, memory_mb: u64) -> Node {
+        let store = store.start(ip);
         let bind = |_| TcpListener::bind((ip, 0)).expect("bind");
         let listeners: Vec<TcpListener> = (0..5).map(bind).collect();
         let status = UdpSocket::bind((ip, 0)).expect("bind");
@@ -327,20 +353,20 @@
         let (callers, ready, lookup, peers) = (address(0), address(1), address(2), address(3));
         let (metrics, status_port) = (address(4), status.local_addr().expect("address").port());
         let metrics_port = metrics.port();
-        let Machine { memory_mb, max_fds, grace_s } = machine;
         let text = format!(
             "{{\"instance\":\"front-{ip}\",\"zone\":\"khomas-a\",\"address\":\"{ip}\",\
              \"caller_address\":\"{callers}\",\"ready_address\":\"{ready}\",\
              \"lookup_address\":\"{lookup}\",\"peer_address\":\"{peers}\",\
              \"status_port\":{status_port},\"metrics_port\":{metrics_port},\"seeds\":[\"{peers}\"],\
-             \"store_address\":\"{store}\",\"is_first_start\":true,\"grace_s\":{grace_s},\
+             \"store_address\":\"{store}\",\"is_first_start\":true,\"grace_s\":8,\
              \"address_keep_s\":5,\"rate_window_s\":8,\"order_turn_ms\":3000,\
-             \"machine\":{{\"memory_mb\":{memory_mb},\"max_descriptors\":{max_fds}}},\
+             \"machine\":{{\"memory_mb\":{memory_mb},\"max_descriptors\":4100}},\
              \"contracts\":[\"base\",\"drain\",\"config\",\"retry\",\"split\",\"stream\",\
              \"engine\",\"tenants\",\"quota\",\"places\",\"platform\"],\
              \"retry\":{{\"window_s\":10,\"share\":0.2,\"extra\":56}}}}"
         );
-        let settings = std::env::temp_dir().join(format!("review-{}.jsonc", std::process::id()));
+        let folder = PathBuf::from(std::env::var_os("REVIEW_FOLDER").expect("REVIEW_FOLDER"));
+        let settings = folder.join("settings.jsonc");
         std::fs::write(&settings, text).expect("settings");
         drop((listeners, status));
         let child = Command::new(binary)
@@ -349,7 +375,8 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the program of the deploy file");
-        let node = Node { child, callers, ready, metrics, settings };
+        let node = Node { child, callers, ready, metrics };
+        std::fs::write(folder.join("process"), format!("{}\n", node.child.id())).expect("process");
         let since = Instant::now();
         while node.ready_status() != Some(200) {
             assert!(since.elapsed() < READY_WITHIN, "the instance does not get ready");
@@ -390,42 +417,55 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
     }
 }
 
 /// Head of a client's request, without the blank line at its end.
 pub fn head(method: &str, path: &str, attempt: &str, deadline_ms: u64) -> String {
-    let mut head = String::new();
-    let _ = write!(
-        head,
+    format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n\
          Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
-    );
-    head
+    )
 }
 
-/// The operator's configuration: streams to engines under `/pose/` (resumable) and `/size/` (not
-/// resumable), bookings under `/book/` (unsafe) and look-ups under `/look/` (safe).
-pub fn configuration() -> String {
-    configuration_with(14_000)
+/// Clients of a crowd, which connect in this many threads, with a pause between two clients of a thread so
+/// that none waits to be accepted.
+const CROWD_THREADS: usize = 20;
+const CROWD_PAUSE: Duration = Duration::from_millis(10);
+
+/// Connects a crowd of `count` clients that each send `bytes` and stay.
+pub fn gather_crowd(node: &Node, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
+    let connect = || {
+        thread::sleep(CROWD_PAUSE);
+        let mut stream = TcpStream::connect(node.callers).ok()?;
+        stream.write_all(bytes).ok()?;
+        Some(stream)
+    };
+    let connect_some = || (0..count / CROWD_THREADS).filter_map(|_| connect()).collect::<Vec<_>>();
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..CROWD_THREADS).map(|_| scope.spawn(connect_some)).collect();
+        threads.into_iter().flat_map(|thread| thread.join().expect("a client")).collect()
+    })
 }
 
-/// The same with another time for bookings and look-ups.
-pub fn configuration_with(desk_timeout_ms: u64) -> String {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, more: &str| {
-        let timeout_ms = if service == "hire-desk" { desk_timeout_ms } else { 14_000 };
+/// The operator's configuration: streams to engines under `/pose/` (resumable) and `/size/` (not
+/// resumable), bookings under `/book/` (unsafe) and look-ups under `/look/` (safe).
+fn configuration() -> String {
+    let route = |name: &str, kind: &str, service: &str, timeout_ms: u64, more: &str| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
              \"route_type\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"target_latency_ms\":900,\
-             \"priority\":1,\"backend\":\"{service}\",\"max_attempts\":{attempts}{more}}}"
+             \"priority\":1,\"backend\":\"{service}\",{more}}}"
         )
     };
+    let stream = |resumable: bool, attempts: u32| {
+        format!("\"max_attempts\":{attempts},\"resumable\":{resumable},\"gap_target_ms\":300")
+    };
     let routes = [
-        route("pose", "streaming", "fit-assist", 2, ",\"resumable\":true,\"gap_target_ms\":300"),
-        route("size", "streaming", "fit-assist", 1, ",\"resumable\":false,\"gap_target_ms\":300"),
-        route("book", "unsafe", "hire-desk", 1, ""),
-        route("look", "safe", "hire-desk", 2, ""),
+        route("pose", "streaming", "fit-assist", 14_000, &stream(true, 2)),
+        route("size", "streaming", "fit-assist", 14_000, &stream(false, 1)),
+        route("book", "unsafe", "hire-desk", DESK_TIMEOUT_MS, "\"max_attempts\":1"),
+        route("look", "safe", "hire-desk", DESK_TIMEOUT_MS, "\"max_attempts\":2"),
     ];
     format!(
         "{{\"version\":1,\"routes\":[{}],\"services\":[{{\"name\":\"fit-assist\",\
--- a/review/standin-2/crashing_parts.rs
+++ b/review/standin-2/crashing_parts.rs
@@ -10,8 +10,8 @@
 
 use crate::Outcome;
 use crate::common::{
-    Machine, Node, Record, Request, Store, Wire, configuration_with, head, listen, response,
-    server_entry,
+    BORN_MS, DESK_TIMEOUT_MS, Node, Record, Request, Store, Wire, head, response, server_entry,
+    start_site,
 };
 
 const ENGINES: usize = 4;
@@ -26,27 +26,13 @@
 const BOOKINGS: usize = 20;
 const BOOKING_INTERVAL: Duration = Duration::from_millis(300);
 /// The route's time, what the rule adds to it, and the number of late requests from which on it counts.
-const TIMEOUT_MS: u128 = 2_000;
+const TIMEOUT_MS: u128 = DESK_TIMEOUT_MS as u128;
 const LATE_MS: u128 = TIMEOUT_MS + 500;
 const MIN_LATE: usize = 8;
 
 pub fn play(binary: &str, has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let ip = IpAddr::from([127, 9, 11, 1]);
-    let store = Arc::new(Store::default());
-    store.set("op", "config", &configuration_with(TIMEOUT_MS as u64));
-    for index in 0..3 {
-        let address = listen(ip, move |mut wire| {
-            while let Ok(request) = wire.read_request() {
-                thread::sleep(Duration::from_millis(60));
-                let attempt = request.attempt();
-                let headers = format!("Attempt-Id: {attempt}\r\nResponse-Stamp: 3e1b.{index}\r\n");
-                if wire.send(response("200 OK", &headers, "done")).is_err() {
-                    return;
-                }
-            }
-        });
-        store.set("servers", &format!("i-{index}"), &server_entry("hire-desk", address, 6, None));
-    }
+    let store = start_site(ip, 6, Duration::from_millis(60), |_, _| {});
     for index in 0..ENGINES {
         let (store, record) = (Arc::clone(&store), Arc::clone(record));
         let listener = TcpListener::bind((ip, 0)).expect("bind");
@@ -54,9 +40,7 @@
         announce(&store, index, address, 0);
         thread::spawn(move || run_engine(index, listener, has_trouble, &store, &record));
     }
-    let store_address = store.start(ip, Instant::now());
-    let machine = Machine { memory_mb: 110, max_fds: 4100, grace_s: 8 };
-    let node = Node::start(binary, ip, store_address, &machine);
+    let node = Node::start(binary, ip, &store, 110);
     record.add(format!("the instance is ready; a booking is answered {:?}", book(&node, 99)));
     let size = request_of_many_parts("first").len();
     record.add(format!("the request has {PARTS} prompt parts and a head of {} bytes", size - 2));
@@ -108,9 +92,9 @@
 }
 
 /// Writes the entry of an engine that has crashed `crashes` times.
-fn announce(store: &Store, index: usize, address: SocketAddr, crashes: usize) {
-    let entry = server_entry("fit-assist", address, 128, Some("decode"));
-    let entry = entry.replace("1790000000000", &format!("{}", 1_790_000_000_000 + crashes * 5_000));
+fn announce(store: &Store, index: usize, address: SocketAddr, crashes: u64) {
+    let born_ms = BORN_MS + crashes * 5_000;
+    let entry = server_entry("fit-assist", address, 128, Some("decode"), born_ms);
     store.set("servers", &format!("i-engine-{index}"), &entry);
 }
 
--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -1,16 +1,13 @@
 //! A crowd of clients sends requests that are legal in size but made of very many short fields, stops
 //! just short of their end and stays.
 
-use std::io::Write;
-use std::net::{IpAddr, TcpStream};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
-use crate::common::{
-    Machine, Node, Record, Store, configuration, head, listen, response, server_entry,
-};
+use crate::common::{Node, Record, gather_crowd, head, start_site};
 
 /// Memory of a machine of the small deployment, and what a client may send there.
 const MEMORY_MB: u64 = 110;
@@ -19,62 +16,31 @@
 const BODY_BYTES: usize = 600;
 /// Clients of the crowd, well below the descriptors of the machine.
 const CLIENTS: usize = 2_000;
-const THREADS: usize = 20;
 /// Short fields and short parts of the prompt in each request.
 const FIELDS: usize = 80;
 const PARTS: usize = 1_500;
-/// Pause of a thread between two of its clients, so that none waits to be accepted.
-const PAUSE: Duration = Duration::from_millis(10);
 /// Time for which the crowd stays.
 const STAY: Duration = Duration::from_secs(8);
 
 pub fn play(binary: &str, has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let ip = IpAddr::from([127, 9, 7, 1]);
-    let store = Arc::new(Store::default());
-    store.set("op", "config", &configuration());
-    for index in 0..3 {
-        let address = listen(ip, move |mut wire| {
-            while let Ok(request) = wire.read_request() {
-                thread::sleep(Duration::from_millis(60));
-                let attempt = request.attempt();
-                let headers = format!("Attempt-Id: {attempt}\r\nResponse-Stamp: 3e1b.{index}\r\n");
-                if wire.send(response("200 OK", &headers, "done")).is_err() {
-                    return;
-                }
-            }
-        });
-        store.set("servers", &format!("i-{index}"), &server_entry("hire-desk", address, 6, None));
-    }
-    let store_address = store.start(ip, Instant::now());
-    let machine = Machine { memory_mb: MEMORY_MB, max_fds: 4100, grace_s: 8 };
-    let mut node = Node::start(binary, ip, store_address, &machine);
+    let store = start_site(ip, 6, Duration::from_millis(60), |_, _| {});
+    let mut node = Node::start(binary, ip, &store, MEMORY_MB);
     let memory = node.memory_kib("VmRSS").unwrap_or(0);
     record.add(format!("the instance is ready and uses {memory} KiB"));
     record.add(format!("an ordinary request is answered {:?}", ask(&node, "before")));
-    let mut crowd = Vec::new();
-    if has_trouble {
+    let crowd = if has_trouble {
         let request = unfinished_request();
         record.add(format!(
             "{CLIENTS} clients send a head of {} bytes (allowed {MAX_HEADER_BYTES}) and all but 1 of \
              the {BODY_BYTES} bytes of its body, and stop there",
             request.len() - (BODY_BYTES - 1)
         ));
-        let members = (0..THREADS).map(|_| {
-            let (request, address) = (request.clone(), node.callers);
-            thread::spawn(move || {
-                let connect = |_| {
-                    thread::sleep(PAUSE);
-                    let mut stream = TcpStream::connect(address).ok()?;
-                    stream.write_all(&request).ok()?;
-                    Some(stream)
-                };
-                (0..CLIENTS / THREADS).filter_map(connect).collect::<Vec<TcpStream>>()
-            })
-        });
-        let members: Vec<_> = members.collect();
-        crowd.extend(members.into_iter().flat_map(|member| member.join().expect("a client")));
-        record.add(format!("{} clients have sent it", crowd.len()));
-    }
+        gather_crowd(&node, CLIENTS, &request)
+    } else {
+        Vec::new()
+    };
+    record.add(format!("{} clients have sent it", crowd.len()));
     let until = Instant::now() + STAY;
     while Instant::now() < until {
         let memory = node.memory_kib("VmRSS").unwrap_or(0);
@@ -98,8 +64,9 @@
     let parts = "1:1,".repeat(PARTS);
     let mut request = head("POST", "/pose/1", "crowd", 14_000);
     request += &format!(
-        "Model: m\r\nToken-Counts: 1501,9\r\nPrompt-Prefix: {parts}2:1\r\n{fields}\
-         Content-Length: {BODY_BYTES}\r\n\r\n"
+        "Model: m\r\nToken-Counts: {},9\r\nPrompt-Prefix: {parts}2:1\r\n{fields}\
+         Content-Length: {BODY_BYTES}\r\n\r\n",
+        PARTS + 1
     );
     let mut request = request.into_bytes();
     request.extend([b'x'; BODY_BYTES - 1]);
--- a/review/standin-2/half_way.rs
+++ b/review/standin-2/half_way.rs
@@ -2,22 +2,18 @@
 //! ahead of its answer.
 
 use std::collections::HashSet;
-use std::io::{self, Write};
-use std::net::{IpAddr, TcpStream};
+use std::io;
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::Outcome;
-use crate::common::{
-    Machine, Node, Record, Store, Wire, configuration, head, listen, response, server_entry,
-};
+use crate::common::{Node, Record, Wire, gather_crowd, head, start_site};
 
 /// Clients of the crowd, below the descriptors of the machine.
 const CROWD: usize = 2_600;
-const THREADS: usize = 20;
-/// Pause of a thread between two of its clients, so that none waits to be accepted.
-const PAUSE: Duration = Duration::from_millis(10);
+const HALF_HEAD: &[u8] = b"POST /pose/1 HTTP/1.1\r\nHost:";
 const CLIENTS: usize = 20;
 /// Time that a server works on a booking.
 const WORK: Duration = Duration::from_millis(600);
@@ -28,31 +24,16 @@
 
 pub fn play(binary: &str, has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let ip = IpAddr::from([127, 9, 9, 1]);
-    let store = Arc::new(Store::default());
-    store.set("op", "config", &configuration());
     let received: Arc<Mutex<HashSet<String>>> = Arc::default();
-    for index in 0..3 {
-        let (log, received) = (Arc::clone(record), Arc::clone(&received));
-        let address = listen(ip, move |mut wire| {
-            while let Ok(request) = wire.read_request() {
-                let attempt = request.attempt().to_owned();
-                log.add(format!("server {index} runs {attempt}"));
-                received.lock().unwrap().insert(attempt.clone());
-                thread::sleep(WORK);
-                let headers =
-                    format!("Attempt-Id: {attempt}\r\nResponse-Stamp: 3e1b.{index}.600.0\r\n");
-                if wire.send(response("200 OK", &headers, &format!("done {attempt}"))).is_err() {
-                    return;
-                }
-            }
-        });
-        store.set("servers", &format!("i-{index}"), &server_entry("hire-desk", address, 6, None));
-    }
-    let store_address = store.start(ip, Instant::now());
-    let machine = Machine { memory_mb: 110, max_fds: 4100, grace_s: 8 };
-    let node = Node::start(binary, ip, store_address, &machine);
+    let (log, runs) = (Arc::clone(record), Arc::clone(&received));
+    let store = start_site(ip, 6, WORK, move |server, attempt| {
+        log.add(format!("server {server} runs {attempt}"));
+        runs.lock().unwrap().insert(attempt.to_owned());
+    });
+    let node = Node::start(binary, ip, &store, 110);
     record.add("the instance is ready");
-    let crowd = if has_trouble { gather(&node, record) } else { Vec::new() };
+    let crowd = if has_trouble { gather_crowd(&node, CROWD, HALF_HEAD) } else { Vec::new() };
+    record.add(format!("{} clients have sent half of a head and stay", crowd.len()));
     let connections = (0..CLIENTS).map(|_| node.connect().expect("connect"));
     let connections: Vec<Wire> = connections.collect();
     let clients: Vec<_> = connections
@@ -80,26 +61,6 @@
     if lost > ALLOWED { Outcome::Broken } else { Outcome::Held }
 }
 
-/// Connects the crowd, whose members send the first half of a head and stay.
-fn gather(node: &Node, record: &Record) -> Vec<TcpStream> {
-    let address = node.callers;
-    let members = (0..THREADS).map(|_| {
-        thread::spawn(move || {
-            let connect = |_| {
-                thread::sleep(PAUSE);
-                let mut stream = TcpStream::connect(address).ok()?;
-                stream.write_all(b"POST /pose/1 HTTP/1.1\r\nHost:").ok()?;
-                Some(stream)
-            };
-            (0..CROWD / THREADS).filter_map(connect).collect::<Vec<TcpStream>>()
-        })
-    });
-    let members: Vec<_> = members.collect();
-    let crowd = members.into_iter().flat_map(|member| member.join().expect("a client")).collect();
-    record.add(format!("{CROWD} clients have sent half of a head and stay"));
-    crowd
-}
-
 /// Uses a connection in calm, then sends a booking, and 200 ms later a prompt. Fails if the booking is
 /// not answered.
 fn run_client(booking: &str, client: usize, wire: &mut Wire, record: &Record) -> io::Result<()> {
--- a/review/standin-2/planned_stop.rs
+++ b/review/standin-2/planned_stop.rs
@@ -4,14 +4,11 @@
 use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::Outcome;
-use crate::common::{
-    Machine, Node, Record, Store, Wire, configuration, head, listen, response, server_entry,
-};
+use crate::common::{Node, Record, Wire, field, head, start_site};
 
 /// Clients, each with a connection that has been used before.
 const CLIENTS: usize = 10;
@@ -23,40 +20,17 @@
 
 pub fn play(binary: &str, has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let ip = IpAddr::from([127, 9, 6, 1]);
-    let store = Arc::new(Store::default());
-    store.set("op", "config", &configuration());
-    for index in 0..3 {
-        let log = Arc::clone(record);
-        let address = listen(ip, move |mut wire| {
-            while let Ok(request) = wire.read_request() {
-                let attempt = request.attempt().to_owned();
-                log.add(format!("server {index} runs {attempt}"));
-                thread::sleep(WORK);
-                let headers =
-                    format!("Attempt-Id: {attempt}\r\nResponse-Stamp: 3e1b.{index}.600.0\r\n");
-                if wire.send(response("200 OK", &headers, &format!("done {attempt}"))).is_err() {
-                    return;
-                }
-            }
-        });
-        store.set("servers", &format!("i-{index}"), &server_entry("hire-desk", address, 6, None));
-    }
-    let store_address = store.start(ip, Instant::now());
-    let machine = Machine { memory_mb: 110, max_fds: 4100, grace_s: 8 };
-    let node = Node::start(binary, ip, store_address, &machine);
+    let log = Arc::clone(record);
+    let store = start_site(ip, 6, WORK, move |server, attempt| {
+        log.add(format!("server {server} runs {attempt}"));
+    });
+    let node = Node::start(binary, ip, &store, 110);
     record.add("the instance is ready");
-    let lost = Arc::new(AtomicU32::new(0));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (record, lost) = (Arc::clone(record), Arc::clone(&lost));
+            let record = Arc::clone(record);
             let mut wire = node.connect().expect("connect");
-            thread::spawn(move || {
-                let is_lost = run_client(client, &mut wire, &record).unwrap_or_else(|error| {
-                    record.add(format!("client {client}: not played: {error}"));
-                    false
-                });
-                lost.fetch_add(u32::from(is_lost), Ordering::Relaxed);
-            })
+            thread::spawn(move || run_client(client, &mut wire, &record))
         })
         .collect();
     thread::sleep(WORK + UNTIL_STOP);
@@ -64,17 +38,23 @@
         node.terminate();
         record.add("SIGTERM");
     }
-    for client in clients {
-        let _ = client.join();
+    let results = clients.into_iter().map(|client| client.join().expect("a client"));
+    let results: Vec<io::Result<bool>> = results.collect();
+    let lost = results.iter().filter(|result| matches!(result, Ok(true))).count();
+    let unplayed = results.iter().filter(|result| result.is_err()).count();
+    record.add(format!(
+        "{lost} of {CLIENTS} connections ended without the answer to a request, {unplayed} before it"
+    ));
+    match (lost, unplayed) {
+        (0, 0) => Outcome::Held,
+        (0, _) => Outcome::Unplayed,
+        _ => Outcome::Broken,
     }
-    let lost = lost.load(Ordering::Relaxed);
-    record.add(format!("{lost} of {CLIENTS} connections ended without the answer to a request"));
-    if lost > 0 { Outcome::Broken } else { Outcome::Held }
 }
 
 /// Uses a connection in calm, then sends two requests, the second one before the first is answered:
 /// two look-ups in one piece, or a look-up 100 ms after a booking whose body comes in chunks. Returns
-/// whether the connection ended without the second answer, later than allowed.
+/// whether the connection ended without the second answer, later than allowed. Fails if it ended before.
 fn run_client(client: usize, wire: &mut Wire, record: &Record) -> io::Result<bool> {
     let id = |number: u32| format!("c{client}-{number}");
     let look = |number: u32| head("GET", "/look/1", &id(number), 4_000) + "\r\n";
@@ -93,9 +73,7 @@
     }
     let sent_at_ms = record.ms();
     let (status, headers, _) = wire.read_response()?;
-    let close = headers.iter().any(|(name, value)| {
-        name.eq_ignore_ascii_case("connection") && value.eq_ignore_ascii_case("close")
-    });
+    let close = field(&headers, "connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
     record.add(format!("client {client}: {} answered {status}, close: {close}", id(1)));
     match wire.read_response() {
         Ok((status, ..)) => {
--- a/review/standin-2/unread_metrics.rs
+++ b/review/standin-2/unread_metrics.rs
@@ -8,9 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
-use crate::common::{
-    Machine, Node, Record, Store, Wire, configuration, head, listen, response, server_entry,
-};
+use crate::common::{Node, Record, Wire, head, start_site};
 
 /// Memory of the smallest machines of nmha-router-grown.
 const MEMORY_MB: u64 = 88;
@@ -24,23 +22,8 @@
 
 pub fn play(binary: &str, has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let ip = IpAddr::from([127, 9, 9, 1]);
-    let store = Arc::new(Store::default());
-    store.set("op", "config", &configuration());
-    for index in 0..3 {
-        let address = listen(ip, move |mut wire| {
-            while let Ok(request) = wire.read_request() {
-                let attempt = request.attempt();
-                let headers = format!("Attempt-Id: {attempt}\r\nResponse-Stamp: 3e1b.{index}\r\n");
-                if wire.send(response("200 OK", &headers, "done")).is_err() {
-                    return;
-                }
-            }
-        });
-        store.set("servers", &format!("i-{index}"), &server_entry("hire-desk", address, 64, None));
-    }
-    let store_address = store.start(ip, Instant::now());
-    let machine = Machine { memory_mb: MEMORY_MB, max_fds: 4100, grace_s: 8 };
-    let node = Node::start(binary, ip, store_address, &machine);
+    let store = start_site(ip, 64, Duration::ZERO, |_, _| {});
+    let node = Node::start(binary, ip, &store, MEMORY_MB);
     record.add(format!("the instance is ready and uses {:?} KiB", node.memory_kib("VmRSS")));
     let answered = Arc::new(AtomicU64::new(0));
     let is_over = Arc::new(AtomicBool::new(false));
