Charge connections, heads and bodies to one account of memory

Crowds of half requests with many short fields ended a process: a connection was charged 24 KB while the parsed head, its copy and the list of prompt parts took 59 KB more, and connections and bodies had an account each, so that neither knew what the other held. A read buffer that had grown was charged as a small one again after each request, although it never shrinks.

One MemoryAccount now has a charge for each connection and one for each request on it. A head is charged by its text and its number of fields before anything is made of it, a body by its buffer as before, a grown read buffer until the connection ends. What is shed: idle connections first, then bodies that have not arrived, and responses that their clients do not accept, with their connections.

--- a/src/forward/admit.rs
+++ b/src/forward/admit.rs
@@ -14,6 +14,7 @@
 use crate::forward::request_context::{QuotaCharge, RequestContext};
 use crate::forward::request_log::RequestLog;
 use crate::forward::{CallerRequest, Codec, Forwarder, Refusal};
+use crate::http::RequestMemory;
 use crate::units::Tokens;
 
 /// Result of admitting a request.
@@ -32,6 +33,7 @@
         configuration: &ServiceConfiguration,
         request: &mut CallerRequest,
         body: Incoming,
+        memory: &RequestMemory,
         log: &mut RequestLog<C>,
     ) -> Result<Admitted, Refusal> {
         let route = configuration.find_route(&request.host, request.path());
@@ -45,7 +47,7 @@
         let service = service.and_then(|id| configuration.service(id));
         let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
         let limits = configuration.limits();
-        request.body = read_body(body, &limits, &self.parts.bodies).await?;
+        request.body = read_body(body, &limits, memory).await?;
         if self.is_closed.get() {
             return Err(Refusal::Leaving);
         }
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -17,7 +17,7 @@
 use crate::forward::end_detector::EndDetector;
 use crate::forward::request_log::RequestLog;
 use crate::forward::{Codec, CrashCounts, EndpointClient, Refusal, RequestLabels};
-use crate::http::{Handler, MemoryAccount, ResponseBody};
+use crate::http::{Handler, RequestMemory, ResponseBody};
 use crate::quota::Quotas;
 use crate::rollout::Rollouts;
 use crate::units::ServiceId;
@@ -32,8 +32,6 @@
     pub crashing_parts: Rc<RefCell<CrashingParts>>,
     pub rollouts: Rc<RefCell<Rollouts>>,
     pub retry_limits: RetryLimits,
-    /// Account of the memory of callers' request bodies.
-    pub bodies: MemoryAccount,
     /// Time from which on this instance uses its part of the retries that do not depend on the
     /// number of requests.
     pub extra_retries_from: Instant,
@@ -78,7 +76,8 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let parts = &self.parts;
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let memory: RequestMemory = head.extensions.remove().unwrap_or_default();
         let configuration = parts.catalog.configuration().ok_or(Refusal::NoConfiguration)?;
         let mut request = self
             .codec()
@@ -90,7 +89,8 @@
         if let Some(size) = &request.generation {
             log.size = size.to_smolstr();
         }
-        let context = match self.admit(&configuration, &mut request, body, &mut log).await {
+        let context = match self.admit(&configuration, &mut request, body, &memory, &mut log).await
+        {
             Ok(admitted) => self.context(request, admitted, log),
             Err(refusal) => {
                 log.set_outcome(refusal.code());
--- a/src/forward/refuse.rs
+++ b/src/forward/refuse.rs
@@ -8,6 +8,7 @@
 use crate::clock::{Clock, Instant};
 use crate::forward::request_context::RequestContext;
 use crate::forward::{Codec, Forwarder, Refusal};
+use crate::http::record_refused_client;
 
 /// Minimum `Retry-After` for services that do not generate tokens, and the maximum random delay
 /// added to it so that callers do not retry at the same time.
@@ -20,6 +21,15 @@
 /// Callers follow a `Retry-After` up to this part of the time that they have left.
 const FOLLOWED_PART_OF_DEADLINE: u64 = 3;
 
+impl Refusal {
+    /// Refuses a request for which there is no memory; it has not run.
+    pub(super) fn overloaded(reason: &'static str) -> Refusal {
+        record_refused_client(reason);
+        let spread_ms = rand::rng().random_range(0..=MIN_RETRY_AFTER_MS);
+        Refusal::Overloaded { retry_after_ms: MIN_RETRY_AFTER_MS + spread_ms }
+    }
+}
+
 impl<K: Codec, D: RowDecoder, C: Clock> Forwarder<K, D, C> {
     /// Returns the refusal of a request that has not run while all endpoints want no requests:
     /// callers return shortly after the first of them accepts requests again.
--- a/src/http/bounded_stream.rs
+++ b/src/http/bounded_stream.rs
@@ -41,12 +41,17 @@
             return written;
         }
         if written.is_ready() {
-            self.stall = None;
+            if self.stall.take().is_some() {
+                self.slot.set_blocked(false);
+            }
             if let Some(reader) = self.reader.take() {
                 reader.wake();
             }
             return written;
         }
+        if self.stall.is_none() {
+            self.slot.set_blocked(true);
+        }
         let stall = self
             .stall
             .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + STALLED_READER_TIMEOUT)));
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,8 +2,8 @@
 //! stand-ins.
 
 mod abortable_stream;
+mod account_limits;
 mod bounded_stream;
-mod client_limits;
 mod connection_slot;
 mod guarded_body;
 mod handler;
@@ -13,18 +13,20 @@
 mod memory_account;
 mod open_requests;
 mod refused_clients;
+mod request_memory;
 mod response_body;
 mod serve_options;
 mod server;
 mod transport;
 
-pub use client_limits::ClientLimits;
+pub use account_limits::AccountLimits;
 pub use handler::Handler;
 pub use http_client::HttpClient;
 pub use http_error::HttpError;
 pub use local_executor::LocalExecutor;
-pub use memory_account::{AccountLimits, MemoryAccount, MemoryCharge};
+pub use memory_account::{MemoryAccount, MemoryCharge};
 pub(crate) use refused_clients::record_refused_client;
+pub use request_memory::{HeldMemory, RequestMemory};
 pub use response_body::{BrokenStream, ResponseBody};
 pub use serve_options::ServeOptions;
 pub use server::{serve, serve_with};
--- a/src/http/serve_options.rs
+++ b/src/http/serve_options.rs
@@ -10,28 +10,24 @@
     /// Time limit for receiving a request head. It also limits how long a connection may be idle.
     pub head_timeout_ms: u64,
     pub enable_http2: bool,
-    /// Account of the connections of all servers of the process; `None` for no limit.
-    pub connections: Option<MemoryAccount>,
+    /// Account of what the process holds for the clients of all its servers; `None` for no limit.
+    pub account: Option<MemoryAccount>,
 }
 
 impl Default for ServeOptions {
     fn default() -> ServeOptions {
-        ServeOptions {
-            head_timeout_ms: DEFAULT_HEAD_TIMEOUT_MS,
-            enable_http2: true,
-            connections: None,
-        }
+        ServeOptions { head_timeout_ms: DEFAULT_HEAD_TIMEOUT_MS, enable_http2: true, account: None }
     }
 }
 
 impl ServeOptions {
     /// Options for a server without HTTP/2.
     pub fn http1(head_timeout_ms: u64) -> ServeOptions {
-        ServeOptions { head_timeout_ms, enable_http2: false, connections: None }
+        ServeOptions { head_timeout_ms, enable_http2: false, account: None }
     }
 
-    /// Charges each connection to an account.
-    pub fn with_connections(self, account: MemoryAccount) -> ServeOptions {
-        ServeOptions { connections: Some(account), ..self }
+    /// Charges connections and their requests to an account.
+    pub fn with_account(self, account: MemoryAccount) -> ServeOptions {
+        ServeOptions { account: Some(account), ..self }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -50,7 +50,7 @@
 ) {
     let mut stop = shutdown.clone();
     let mut connections = JoinSet::new();
-    let account = options.connections.as_ref();
+    let account = options.account.as_ref();
     let start_connection = |(stream, remote), slot| {
         let (transport, handler, stop) = (transport.clone(), Rc::clone(&handler), shutdown.clone());
         accept_connection(stream, slot, transport, options.clone(), remote, handler, stop)
@@ -155,11 +155,12 @@
     let opened = Rc::clone(&requests);
     let is_stopping = Rc::new(Cell::new(false));
     let is_last = Rc::clone(&is_stopping);
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         version_seen.set(request.version() < Version::HTTP_11);
         let (handler, is_last) = (Rc::clone(&handler), Rc::clone(&is_last));
         let open_request = opened.open(&request);
-        let guard = slot.begin_request();
+        let (guard, memory) = slot.begin_request(&request);
+        request.extensions_mut().insert(memory);
         let version = request.version();
         async move {
             let mut response = handler.handle(request, remote).await;
--- a/src/node/node_state.rs
+++ b/src/node/node_state.rs
@@ -17,7 +17,7 @@
     ConnectionPool, CrashCounts, EndpointClient, EndpointClientParts, Forwarder, ForwarderParts,
 };
 use crate::hash::stable_hash;
-use crate::http::ClientLimits;
+use crate::http::{AccountLimits, MemoryAccount};
 use crate::node::rollout_orders::log_step;
 use crate::node::{NodeSettings, PlatformAdapter};
 use crate::quota::Quotas;
@@ -30,7 +30,8 @@
 /// Shared state and components of a running instance.
 pub struct NodeState<A: PlatformAdapter, C: Clock> {
     pub settings: NodeSettings,
-    pub client_limits: ClientLimits,
+    /// Account of the memory that is held for clients of all listeners.
+    pub client_memory: MemoryAccount,
     pub clock: C,
     pub store: Rc<A::Store>,
     pub catalog: Rc<Catalog<A::Decoder, C>>,
@@ -59,7 +60,8 @@
     pub fn new(adapter: &A, settings: NodeSettings, clock: C) -> (Rc<NodeState<A, C>>, ChangeFeed) {
         let now = clock.now();
         let machine = settings.machine;
-        let client_limits = ClientLimits::for_machine(machine.memory_mb, machine.max_descriptors);
+        let limits = AccountLimits::for_machine(machine.memory_mb, machine.max_descriptors);
+        let client_memory = MemoryAccount::new(limits);
         let (sender, changes) = mpsc::unbounded_channel();
         let store = Rc::new(adapter.store());
         let catalog = Rc::new(Catalog::new(adapter.decoder(), clock.clone()));
@@ -97,7 +99,6 @@
             rollouts: Rc::clone(&rollouts),
             retry_limits,
             extra_retries_from,
-            bodies: client_limits.bodies.clone(),
             clock: clock.clone(),
         });
         let members = Rc::new(RefCell::new(members));
@@ -107,7 +108,7 @@
         });
         let state = NodeState {
             settings,
-            client_limits,
+            client_memory,
             clock,
             store,
             catalog,
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -59,14 +59,14 @@
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let mut listeners = JoinSet::new();
     let settings = &node.settings;
-    let connections = &node.client_limits.connections;
+    let client_memory = &node.client_memory;
     let caller_handler = Rc::new(CallerHandler(Rc::clone(&node)));
     let metrics_address = SocketAddr::new(IpAddr::V4(settings.address), settings.metrics_port);
     listen(
         &mut listeners,
         settings.caller_address,
         caller_handler,
-        connections,
+        client_memory,
         &shutdown_receiver,
     )
     .await?;
@@ -74,23 +74,24 @@
     let (_never_shutdown_sender, never_shutdown) = watch::channel(false);
     let mut persistent = JoinSet::new();
     let lookup = Rc::new(adapter.lookup(&node));
-    listen(&mut persistent, settings.lookup_address, lookup, connections, &never_shutdown).await?;
+    listen(&mut persistent, settings.lookup_address, lookup, client_memory, &never_shutdown)
+        .await?;
     listen(
         &mut persistent,
         settings.ready_address,
         Rc::new(adapter.ready(&node)),
-        connections,
+        client_memory,
         &never_shutdown,
     )
     .await?;
     let peer_handler = Rc::new(PeerHandler(Rc::clone(&node)));
-    listen(&mut persistent, settings.peer_address, peer_handler, connections, &never_shutdown)
+    listen(&mut persistent, settings.peer_address, peer_handler, client_memory, &never_shutdown)
         .await?;
     listen(
         &mut persistent,
         metrics_address,
         Rc::new(MetricsHandler(metrics)),
-        connections,
+        client_memory,
         &never_shutdown,
     )
     .await?;
@@ -113,14 +114,14 @@
     listeners: &mut JoinSet<()>,
     address: SocketAddr,
     handler: Rc<H>,
-    connections: &MemoryAccount,
+    client_memory: &MemoryAccount,
     shutdown_receiver: &watch::Receiver<bool>,
 ) -> Result<(), NodeError> {
     let listener =
         TcpListener::bind(address).await.map_err(|source| NodeError::Listen { address, source })?;
     let limits = crate::catalog::RequestLimits::default();
     let idle_timeout_ms = limits.connection_idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS;
-    let options = ServeOptions::http1(idle_timeout_ms).with_connections(connections.clone());
+    let options = ServeOptions::http1(idle_timeout_ms).with_account(client_memory.clone());
     listeners.spawn_local(serve_with(
         listener,
         Transport::Plain,
