Reserve the memory of forwarding before a request is accepted

Some 1,320 generations in progress at once ended a process of 110 MB, and with it the streams of ordinary callers: about 80 KB each, of which 24 were charged. Nothing was charged for the connection to the engine, the tasks and the relay.

A request with a route and a key now reserves 40 KB before its body is read, and 24 KB of its response before it is sent to an endpoint. Where there is no room it is refused with 503 overloaded and Retry-After; it has not run.

--- a/src/forward/admit.rs
+++ b/src/forward/admit.rs
@@ -47,7 +47,13 @@
         let service = service.and_then(|id| configuration.service(id));
         let service = Rc::clone(service.ok_or_else(|| self.no_capacity(route.kind))?);
         let limits = configuration.limits();
+        if !memory.reserve_forwarding() {
+            return Err(Refusal::overloaded("request_memory"));
+        }
         request.body = read_body(body, &limits, memory).await?;
+        if !memory.reserve_window() {
+            return Err(Refusal::overloaded("request_memory"));
+        }
         if self.is_closed.get() {
             return Err(Refusal::Leaving);
         }
@@ -63,6 +69,7 @@
         &self,
         request: CallerRequest,
         admitted: Admitted,
+        memory: RequestMemory,
         log: RequestLog<C>,
     ) -> RequestContext<C> {
         let Admitted { route, service, customer, rank, charge } = admitted;
@@ -80,6 +87,7 @@
             rank,
             deadline,
             charge,
+            memory,
             log,
             sends: SendCount::default(),
             runs: 0,
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -91,7 +91,7 @@
         }
         let context = match self.admit(&configuration, &mut request, body, &memory, &mut log).await
         {
-            Ok(admitted) => self.context(request, admitted, log),
+            Ok(admitted) => self.context(request, admitted, memory, log),
             Err(refusal) => {
                 log.set_outcome(refusal.code());
                 return Err(refusal);
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -7,6 +7,7 @@
 use crate::clock::{Clock, Instant};
 use crate::forward::CallerRequest;
 use crate::forward::request_log::RequestLog;
+use crate::http::RequestMemory;
 use crate::quota::Quotas;
 use crate::rollout::VersionChoice;
 use crate::units::{EndpointId, OrganisationId, Tokens};
@@ -26,6 +27,9 @@
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
     pub charge: QuotaCharge,
+    /// Memory that is held for the request and its response.
+    #[expect(dead_code, reason = "returns the memory on drop")]
+    pub memory: RequestMemory,
     pub log: RequestLog<C>,
     /// Sends that count against the service's retry limit.
     pub sends: SendCount,
