Charge whole answers, and pass on those that have no room

Callers with long answers that they read slowly ended a process: each answer was buffered whole, up to 4 MB, uncharged, and stayed until its caller had read it; read buffers of up to 400 KB for each endpoint connection came on top.

Answers are now collected in blocks of 32 KB that are charged to their request and freed one by one as the caller reads. Blocks shed nobody else's memory. Where the account has no room for the next one, the response goes out at once: what has arrived first, the rest as it comes, no faster than the caller reads (RestRelay), so that the endpoint is slowed down by its connection. An answer that breaks off then breaks off at the caller too; it can no longer be replaced by another endpoint's. In calm nothing changes: answers are complete before they begin. Read buffers of endpoint connections end at 32 KB, as those of callers do. A caller that accepts nothing loses its connection when others need the memory.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -22,6 +22,9 @@
 /// (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest read buffer, and so the largest head of a response and the largest part of a body that
+/// arrives at once. Each request in progress may have one.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// Number of unanswered keepalive probes after which a connection without outgoing data is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -57,7 +60,9 @@
         if let Err(error) = set_options(&stream) {
             log::debug!(target: "forward", "failed to set socket options: {error}");
         }
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| EndpointError::NotSent { reason: error.to_smolstr() })?;
         let task = tokio::task::spawn_local(async move {
--- a/src/forward/decode.rs
+++ b/src/forward/decode.rs
@@ -112,8 +112,8 @@
         }
         if response.status() != StatusCode::OK {
             let endpoint = &placement.endpoint;
-            let until = context.deadline;
-            let answer = self.read_response(endpoint, connection, response, until).await?;
+            let load = Some(load);
+            let answer = self.read_response(context, endpoint, connection, response, load).await?;
             return Ok(Opened::NonStream(answer));
         }
         let (head, mut body) = response.into_parts();
--- a/src/forward/endpoint_body.rs
+++ b/src/forward/endpoint_body.rs
@@ -4,9 +4,9 @@
 
 use crate::forward::EndpointError;
 
-/// Largest response that is buffered. A faulty endpoint may send bytes until its connection is
+/// Largest response. A faulty endpoint may send bytes until its connection is
 /// closed.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Reads the whole body of an endpoint's response.
 pub(crate) async fn read_endpoint_body(body: Incoming) -> Result<Bytes, EndpointError> {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,6 +4,7 @@
 
 mod admission_log;
 mod admit;
+mod answer_buffer;
 mod caller_request;
 mod codec;
 mod connection;
@@ -32,7 +33,9 @@
 mod request_body;
 mod request_context;
 mod request_log;
+mod response_memory;
 mod responses;
+mod rest_relay;
 mod sends;
 mod stream_relay;
 mod versions;
--- a/src/forward/plain.rs
+++ b/src/forward/plain.rs
@@ -97,9 +97,9 @@
     ) -> Result<Response<ResponseBody>, EndpointError> {
         let now = self.parts.clock.now();
         let load = Load { requests: 1, ..Load::default() };
-        let _guard = LoadGuard::begin(&self.parts.balancer, &placement.endpoint.id, load, now);
+        let load = LoadGuard::begin(&self.parts.balancer, &placement.endpoint.id, load, now);
         let until = self.attempt_deadline(context, placement, now);
-        let result = self.exchange_plain(context, placement, until).await;
+        let result = self.exchange_plain(context, placement, load, until).await;
         let now_after = self.parts.clock.now();
         let code = match &result {
             Ok(answer) => answer.status().as_str().to_owned(),
@@ -148,6 +148,7 @@
         &self,
         context: &RequestContext<C>,
         placement: &Placement,
+        load: LoadGuard,
         until: Instant,
     ) -> Result<Response<ResponseBody>, EndpointError> {
         let outgoing = EndpointRequest {
@@ -161,6 +162,6 @@
             deadline: context.deadline,
         };
         let (connection, response) = self.parts.endpoints.send(&outgoing, until).await?;
-        self.read_response(&placement.endpoint, connection, response, context.deadline).await
+        self.read_response(context, &placement.endpoint, connection, response, Some(load)).await
     }
 }
--- a/src/forward/request_context.rs
+++ b/src/forward/request_context.rs
@@ -28,7 +28,6 @@
     pub deadline: Instant,
     pub charge: QuotaCharge,
     /// Memory that is held for the request and its response.
-    #[expect(dead_code, reason = "returns the memory on drop")]
     pub memory: RequestMemory,
     pub log: RequestLog<C>,
     /// Sends that count against the service's retry limit.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -27,7 +27,7 @@
 pub use memory_account::{MemoryAccount, MemoryCharge};
 pub(crate) use refused_clients::record_refused_client;
 pub use request_memory::{HeldMemory, RequestMemory};
-pub use response_body::{BrokenStream, ResponseBody};
+pub use response_body::{Blocks, BrokenStream, ResponseBody};
 pub use serve_options::ServeOptions;
 pub use server::{serve, serve_with};
 pub use transport::{Transport, TransportError};
--- a/src/http/response_body.rs
+++ b/src/http/response_body.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -13,6 +14,17 @@
     Full(Option<Bytes>),
     /// Chunks until the channel closes. An `Err` aborts the connection instead of ending the body.
     Stream(mpsc::Receiver<Result<Bytes, BrokenStream>>),
+    /// Blocks that have arrived already, and those that follow until the channel closes.
+    Blocks(Blocks),
+}
+
+/// Blocks of a body.
+#[derive(Debug)]
+pub struct Blocks {
+    pub received: VecDeque<Bytes>,
+    pub rest: Option<mpsc::Receiver<Result<Bytes, BrokenStream>>>,
+    /// Length of all blocks together, if it is known.
+    pub length_bytes: Option<u64>,
 }
 
 /// Error that aborts a streamed body, so that the client detects that it is incomplete.
@@ -49,11 +61,22 @@
             ResponseBody::Stream(chunks) => {
                 chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
+            ResponseBody::Blocks(blocks) => {
+                if let Some(block) = blocks.received.pop_front() {
+                    return Poll::Ready(Some(Ok(Frame::data(block))));
+                }
+                let Some(rest) = &mut blocks.rest else { return Poll::Ready(None) };
+                rest.poll_recv(cx).map(|block| block.map(|block| block.map(Frame::data)))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Full(None))
+        match self {
+            ResponseBody::Full(bytes) => bytes.is_none(),
+            ResponseBody::Stream(_) => false,
+            ResponseBody::Blocks(blocks) => blocks.received.is_empty() && blocks.rest.is_none(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -62,6 +85,9 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
             ResponseBody::Stream(_) => SizeHint::default(),
+            ResponseBody::Blocks(blocks) => {
+                blocks.length_bytes.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 }
