Charge the events of streams

Streams that are not read held 16 parts of events each, of any size, and an incomplete event of up to 1 MB, uncharged.

Events are charged to their request from their arrival until they are written to the caller's connection. Short events are copied out of the buffer of their stream, since each would hold it whole.

--- a/src/forward/decode.rs
+++ b/src/forward/decode.rs
@@ -13,10 +13,11 @@
 use crate::forward::connection::Connection;
 use crate::forward::plan::Plan;
 use crate::forward::request_context::{LoadGuard, RequestContext};
+use crate::forward::response_memory::hold_when_free;
 use crate::forward::{
     Codec, EndpointError, EndpointRequest, EventSplitter, Forwarder, KvSource, Stage,
 };
-use crate::http::ResponseBody;
+use crate::http::{HeldMemory, ResponseBody};
 
 /// Time to the first event, added to twice the expected time, after which a retryable generation is
 /// started at another engine.
@@ -30,6 +31,8 @@
     pub body: Incoming,
     pub splitter: EventSplitter,
     pub first_events: Bytes,
+    /// Memory of the first events and of an incomplete one.
+    pub held: HeldMemory,
     pub has_ended: bool,
     pub load: LoadGuard,
 }
@@ -119,6 +122,7 @@
         let (head, mut body) = response.into_parts();
         let endpoint = placement.endpoint;
         let mut splitter = progress.continuation();
+        let mut held = HeldMemory::default();
         loop {
             let limit = until.remaining(self.parts.clock.now());
             let frame = tokio::time::timeout(limit, body.frame()).await;
@@ -139,13 +143,21 @@
                 Some(Err(error)) => {
                     return Err(EndpointError::Broken { reason: error.to_string().into() });
                 }
-                Some(Ok(frame)) => match frame.data_ref().and_then(|data| splitter.push(data)) {
-                    Some(events) => (events, false),
-                    None if splitter.is_overlong() || splitter.is_out_of_order() => {
-                        return Err(EndpointError::Mismatched);
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    let clock = &self.parts.clock;
+                    let needed_bytes = splitter.buffer_bytes_after(data.len());
+                    let more_bytes = needed_bytes.saturating_sub(held.bytes());
+                    let part = hold_when_free(&context.memory, more_bytes, until, clock).await;
+                    held.merge(part.ok_or(EndpointError::Timeout)?);
+                    match splitter.push(&data) {
+                        Some(events) => (events, false),
+                        None if splitter.is_overlong() || splitter.is_out_of_order() => {
+                            return Err(EndpointError::Mismatched);
+                        }
+                        None => continue,
                     }
-                    None => continue,
-                },
+                }
             };
             load.remove_prompt_load();
             return Ok(Opened::Stream(Box::new(OpenStream {
@@ -155,6 +167,7 @@
                 body,
                 splitter,
                 first_events,
+                held,
                 has_ended,
                 load,
             })));
--- a/src/forward/event_splitter.rs
+++ b/src/forward/event_splitter.rs
@@ -73,6 +73,11 @@
         self.is_at_continuation
     }
 
+    /// Memory of the buffer once `more` bytes have been pushed. It grows by doubling.
+    pub fn buffer_bytes_after(&self, more: usize) -> usize {
+        2 * (self.pending.len() + more)
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -11,8 +11,9 @@
 use crate::clock::{Clock, Instant};
 use crate::forward::decode::{OpenStream, Opened};
 use crate::forward::request_context::RequestContext;
+use crate::forward::response_memory::hold_when_free;
 use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder};
-use crate::http::BrokenStream;
+use crate::http::{BrokenStream, HeldMemory};
 
 /// Number of maximum event gaps of the route without any bytes after which a resumable stream is
 /// resumed at another engine.
@@ -23,6 +24,9 @@
 /// Maximum gap between events for routes that do not configure one.
 const DEFAULT_MAX_GAP_MS: u64 = 400;
 
+/// Largest events that are copied out of the buffer of their stream.
+const MAX_COPIED_BYTES: usize = 32 << 10;
+
 type Events = Sender<Result<Bytes, BrokenStream>>;
 
 /// Result of relaying the events of one engine.
@@ -155,10 +159,11 @@
 ) -> RelayEnd {
     let clock = &forwarder.parts.clock;
     let first = std::mem::take(&mut stream.first_events);
-    if !first.is_empty()
-        && let Err(end) = send_events(events, first, context.deadline, clock).await
-    {
-        return end;
+    if !first.is_empty() {
+        let first = hold_events(&mut stream.held, first);
+        if let Err(end) = send_events(events, first, context.deadline, clock).await {
+            return end;
+        }
     }
     let max_gap_ms = context.route.max_event_gap_ms.unwrap_or(DEFAULT_MAX_GAP_MS);
     let may_resume = context.may_run_elsewhere();
@@ -186,7 +191,18 @@
                 });
             }
             Ok(Some(Ok(frame))) => {
-                let complete_events = frame.data_ref().and_then(|data| stream.splitter.push(data));
+                let data = frame.into_data().unwrap_or_default();
+                let deadline = context.deadline;
+                let needed_bytes = stream.splitter.buffer_bytes_after(data.len());
+                let more_bytes = needed_bytes.saturating_sub(stream.held.bytes());
+                let more = tokio::select! {
+                    more = hold_when_free(&context.memory, more_bytes, deadline, clock) => more,
+                    () = events.closed() => return RelayEnd::CallerGone,
+                };
+                let Some(more) = more else { return RelayEnd::DeadlinePassed };
+                stream.held.merge(more);
+                let complete_events = stream.splitter.push(&data);
+                drop(data);
                 let Some(complete_events) = complete_events else {
                     if stream.splitter.is_overlong() || stream.splitter.is_out_of_order() {
                         return RelayEnd::Failed(EndpointError::Mismatched);
@@ -194,9 +210,8 @@
                     continue;
                 };
                 stream.load.grow_to(memory_used(context, &stream.splitter));
-                if let Err(end) =
-                    send_events(events, complete_events, context.deadline, clock).await
-                {
+                let complete_events = hold_events(&mut stream.held, complete_events);
+                if let Err(end) = send_events(events, complete_events, deadline, clock).await {
                     return end;
                 }
                 last_event_at = clock.now();
@@ -209,6 +224,16 @@
     RelayEnd::Complete
 }
 
+/// Takes the memory of complete events out of that of the buffer. Short ones are copied, since each
+/// would hold the whole buffer.
+fn hold_events(held: &mut HeldMemory, events: Bytes) -> Bytes {
+    let held = held.split(events.len());
+    if events.len() > MAX_COPIED_BYTES {
+        return held.into_bytes(events);
+    }
+    held.into_bytes(events.to_vec())
+}
+
 /// Passes events to the caller's connection, which may accept no more bytes before the deadline.
 async fn send_events<C: Clock>(
     events: &Events,
