Bound and charge the socket buffers of slow readers

A caller that reads nothing made the kernel keep 3.9 MB of its answer in the send buffer of its connection, and up to 440 KB in the receive buffer of the connection to the endpoint: 240 MB for 60 readers of a machine of 40 MB. The kernel counts this against the machine, although not as memory of the process.

Send buffers of callers' connections have 32 KB, their receive buffers 64 KB, receive buffers of endpoint connections 32 KB (the kernel doubles these). The two that fill while a response is blocked are charged to its connection meanwhile; where there is no room, the connection is closed.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -25,6 +25,8 @@
 /// Largest read buffer, and so the largest head of a response and the largest part of a body that
 /// arrives at once. Each request in progress may have one.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// Receive buffer of the socket, which the kernel doubles. It fills while the caller does not read.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Number of unanswered keepalive probes after which a connection without outgoing data is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -118,6 +120,7 @@
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/src/http/bounded_stream.rs
+++ b/src/http/bounded_stream.rs
@@ -49,8 +49,8 @@
             }
             return written;
         }
-        if self.stall.is_none() {
-            self.slot.set_blocked(true);
+        if self.stall.is_none() && !self.slot.set_blocked(true) {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
         }
         let stall = self
             .stall
--- a/src/http/connection_slot.rs
+++ b/src/http/connection_slot.rs
@@ -13,13 +13,17 @@
 const FIRST_BLOCK_BYTES: usize = 8 << 10;
 /// Memory of a connection whose read buffer has grown to its limit. The buffer never shrinks.
 const FULL_CONNECTION_BYTES: usize = CONNECTION_BYTES + (32 << 10);
+/// Memory of the socket buffers that fill while a client accepts no bytes: its own send buffer, and
+/// the receive buffer of the connection to the endpoint.
+const BLOCKED_BUFFER_BYTES: usize = 128 << 10;
+
 /// A client's place among the connections of the process. It is shed only while no request of the
 /// connection is in progress, or while the client does not accept the response.
 pub(super) struct ConnectionSlot {
     /// `None` for servers without a limit.
     charge: Option<MemoryCharge>,
     request_bytes: Cell<usize>,
-    /// Charged bytes.
+    /// Charged bytes without the socket buffers of a blocked response.
     own_bytes: Cell<usize>,
     /// The last request, which may still be in progress.
     last_request: RefCell<WeakRequestMemory>,
@@ -62,18 +66,29 @@
         if self.request_bytes.get() > FIRST_BLOCK_BYTES {
             self.own_bytes.set(FULL_CONNECTION_BYTES);
         }
-        let Some(charge) = &self.charge else { return true };
-        let has_room = charge.grow_to(self.own_bytes.get());
-        if !has_room {
-            record_refused_client("connection_memory");
-        }
-        has_room
+        self.charge_own_bytes("connection_memory")
     }
 
-    /// Records whether the client accepts the bytes of its response.
-    pub(super) fn set_blocked(&self, is_blocked: bool) {
+    /// Records whether the client accepts the bytes of its response. Returns whether the account
+    /// has room for what the socket buffers hold meanwhile.
+    pub(super) fn set_blocked(&self, is_blocked: bool) -> bool {
         self.is_blocked.set(is_blocked);
         self.last_request.borrow().set_blocked(is_blocked);
+        if let (Some(charge), false) = (&self.charge, is_blocked) {
+            charge.shrink_to(self.own_bytes.get());
+        }
+        self.charge_own_bytes("blocked_response")
+    }
+
+    /// Charges what the connection holds now. Returns whether the account has room.
+    fn charge_own_bytes(&self, refusal_reason: &'static str) -> bool {
+        let Some(charge) = &self.charge else { return true };
+        let buffer_bytes = if self.is_blocked.get() { BLOCKED_BUFFER_BYTES } else { 0 };
+        let has_room = charge.grow_to(self.own_bytes.get() + buffer_bytes);
+        if !has_room {
+            record_refused_client(refusal_reason);
+        }
+        has_room
     }
 
     /// Charges a request whose head has arrived.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -27,6 +28,10 @@
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_HEADER_BYTES: usize = 32 << 10;
+/// Socket buffers of a connection whose server has limits; the kernel doubles them. It would otherwise
+/// buffer megabytes for each client that does not read.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -51,6 +56,11 @@
     let mut stop = shutdown.clone();
     let mut connections = JoinSet::new();
     let account = options.account.as_ref();
+    if account.is_some()
+        && let Err(error) = bound_socket_buffers(&listener)
+    {
+        log::warn!("failed to bound the buffers of connections: {error}");
+    }
     let start_connection = |(stream, remote), slot| {
         let (transport, handler, stop) = (transport.clone(), Rc::clone(&handler), shutdown.clone());
         accept_connection(stream, slot, transport, options.clone(), remote, handler, stop)
@@ -87,6 +97,13 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Sets the size of the buffers that accepted connections inherit.
+fn bound_socket_buffers(listener: &TcpListener) -> std::io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+}
+
 async fn accept_connection<H: Handler>(
     stream: TcpStream,
     slot: Rc<ConnectionSlot>,
