Charge the instance's own answers

Metrics and other answers that the instance makes itself were held for clients that do not read them, at every listener, without a charge.

An answer of more than 4 KB is charged to its request before it is sent, and replaced by 503 with Retry-After if there is no room. Smaller ones fit into what is charged for their connections.

Before: 800 connections that send 1,020 requests each and read nothing took 61,148 KiB of 40,960 (answers_of_the_instance_itself).

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod connection_slot;
 mod guarded_body;
 mod handler;
+mod held_response;
 mod http_client;
 mod http_error;
 mod local_executor;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -23,6 +23,7 @@
 use crate::http::bounded_stream::BoundedStream;
 use crate::http::connection_slot::ConnectionSlot;
 use crate::http::guarded_body::GuardedBody;
+use crate::http::held_response::hold_response;
 use crate::http::open_requests::OpenRequests;
 use crate::http::{Handler, LocalExecutor, MemoryAccount, ServeOptions, Transport};
 
@@ -177,10 +178,10 @@
         let (handler, is_last) = (Rc::clone(&handler), Rc::clone(&is_last));
         let open_request = opened.open(&request);
         let (guard, memory) = slot.begin_request(&request);
-        request.extensions_mut().insert(memory);
+        request.extensions_mut().insert(memory.clone());
         let version = request.version();
         async move {
-            let mut response = handler.handle(request, remote).await;
+            let mut response = hold_response(handler.handle(request, remote).await, &memory);
             if version < Version::HTTP_2 && open_request.may_have_successor() {
                 // hyper would drop the requests that are still to be answered.
                 response.headers_mut().remove(CONNECTION);
