Take no success without its endpoint's stamp for an answer

Callers of bookings got the default page of another server as a success: a response without Attempt-Id was taken for the endpoint's own if it was the first one on its connection, and none was asked for its Response-Stamp.

A success that is passed on to a caller must now carry the stamp.

Also tested, and not found here: an early 200 without a length that is cut while the upload is still being written, and statuses such as 000.

--- a/src/forward/codec.rs
+++ b/src/forward/codec.rs
@@ -92,6 +92,10 @@
         is_first_use: bool,
     ) -> ResponseKind;
 
+    /// Returns whether a response carries its endpoint's signature. To the caller a success without
+    /// it does not count.
+    fn is_signed(&self, head: &response::Parts) -> bool;
+
     /// Returns whether a response names a caller's request, so that it cannot belong to a request
     /// of the instance itself.
     fn answers_caller_request(&self, head: &response::Parts) -> bool;
