Check the stamp of a success where responses are classified

The check stood twice, in the reading of whole answers and of streams, behind the place that decides whether a response belongs to its request. EndpointClient::send knows the stage and rejects the others, so it asks for the stamp too, except of prefills, whose responses are for the instance.

Callers see the same. A memory reservation is now also cancelled after an unsigned response, as after every other mismatched one. a_success_without_the_stamp_of_its_endpoint_is_no_answer, unchanged, passes.

--- a/src/forward/decode.rs
+++ b/src/forward/decode.rs
@@ -120,9 +120,6 @@
             return Ok(Opened::NonStream(answer));
         }
         let (head, mut body) = response.into_parts();
-        if !self.codec().is_signed(&head) {
-            return Err(EndpointError::Mismatched);
-        }
         let endpoint = placement.endpoint;
         let mut splitter = progress.continuation();
         let mut held = HeldMemory::default();
--- a/src/forward/endpoint_client.rs
+++ b/src/forward/endpoint_client.rs
@@ -15,7 +15,7 @@
 use crate::clock::{Clock, Instant};
 use crate::forward::connection::Connection;
 use crate::forward::{
-    Codec, ConnectionPool, EndpointError, EndpointRequest, ResponseKind, read_endpoint_body,
+    Codec, ConnectionPool, EndpointError, EndpointRequest, ResponseKind, Stage, read_endpoint_body,
 };
 
 /// Time after the deadline of an attempt in which the endpoint's own response may still arrive.
@@ -73,6 +73,11 @@
             return Err(EndpointError::Mismatched);
         }
         if kind == ResponseKind::Own {
+            // The response to a prefill is for the instance and carries no signature.
+            let is_for_caller = outgoing.stage != Stage::Prefill;
+            if is_for_caller && head.status.is_success() && !parts.codec.is_signed(&head) {
+                return Err(EndpointError::Mismatched);
+            }
             return Ok((connection, Response::from_parts(head, body)));
         }
         let read = tokio::time::timeout(REJECTION_BODY_TIMEOUT, read_endpoint_body(body)).await;
--- a/src/forward/responses.rs
+++ b/src/forward/responses.rs
@@ -47,9 +47,6 @@
         load: Option<LoadGuard>,
     ) -> Result<Response<ResponseBody>, EndpointError> {
         let (head, mut body) = response.into_parts();
-        if head.status.is_success() && !self.codec().is_signed(&head) {
-            return Err(EndpointError::Mismatched);
-        }
         let declared_bytes = body.size_hint().exact();
         let mut answer = Response::new(ResponseBody::empty());
         *answer.status_mut() = head.status;
