Grow one part of memory instead of merging parts

The start of a stream and its relay each worked out how much more memory the buffer of events needs, waited for that and merged it into what they held; the buffer of whole answers did the same without waiting. A part of a request's memory can now grow without shedding others (HeldMemory::try_grow_to), and grow_when_free waits for it, so that all of them call one piece; merge and bytes are gone, and a body's part no longer begins with a case that cannot fail. The sender of RestRelay no longer has the name of http::Blocks.

--- a/src/forward/answer_buffer.rs
+++ b/src/forward/answer_buffer.rs
@@ -25,7 +25,7 @@
             memory: memory.clone(),
             blocks: VecDeque::new(),
             last: Vec::new(),
-            last_held: HeldMemory::default(),
+            last_held: memory.begin_part(),
             length_bytes: 0,
         }
     }
@@ -42,10 +42,9 @@
         }
         if last_bytes > self.last.capacity() {
             let capacity = (2 * self.last.capacity()).min(MAX_BLOCK_BYTES).max(last_bytes);
-            let Some(more) = self.memory.hold(capacity - self.last.capacity()) else {
+            if !self.last_held.try_grow_to(capacity) {
                 return false;
-            };
-            self.last_held.merge(more);
+            }
             self.last.reserve_exact(capacity - self.last.len());
         }
         self.append(part);
@@ -55,9 +54,9 @@
     fn begin_block(&mut self, part: &[u8]) -> bool {
         let capacity = part.len().max(MIN_BLOCK_BYTES);
         let Some(held) = self.memory.hold(capacity) else { return false };
-        self.end_block();
-        self.last = Vec::with_capacity(capacity);
-        self.last_held = held;
+        let block = std::mem::replace(&mut self.last, Vec::with_capacity(capacity));
+        let block_held = std::mem::replace(&mut self.last_held, held);
+        self.blocks.push_back(block_held.into_bytes(block));
         self.append(part);
         true
     }
@@ -67,15 +66,10 @@
         self.length_bytes += part.len();
     }
 
-    fn end_block(&mut self) {
-        let held = std::mem::take(&mut self.last_held);
+    pub fn into_blocks(mut self) -> VecDeque<Bytes> {
         if !self.last.is_empty() {
-            self.blocks.push_back(held.into_bytes(std::mem::take(&mut self.last)));
+            self.blocks.push_back(self.last_held.into_bytes(self.last));
         }
-    }
-
-    pub fn into_blocks(mut self) -> VecDeque<Bytes> {
-        self.end_block();
         self.blocks
     }
 }
--- a/src/forward/decode.rs
+++ b/src/forward/decode.rs
@@ -13,7 +13,7 @@
 use crate::forward::connection::Connection;
 use crate::forward::plan::Plan;
 use crate::forward::request_context::{LoadGuard, RequestContext};
-use crate::forward::response_memory::hold_when_free;
+use crate::forward::response_memory::grow_when_free;
 use crate::forward::{
     Codec, EndpointError, EndpointRequest, EventSplitter, Forwarder, KvSource, Stage,
 };
@@ -122,7 +122,7 @@
         let (head, mut body) = response.into_parts();
         let endpoint = placement.endpoint;
         let mut splitter = progress.continuation();
-        let mut held = HeldMemory::default();
+        let mut held = context.memory.begin_part();
         loop {
             let limit = until.remaining(self.parts.clock.now());
             let frame = tokio::time::timeout(limit, body.frame()).await;
@@ -147,9 +147,9 @@
                     let data = frame.into_data().unwrap_or_default();
                     let clock = &self.parts.clock;
                     let needed_bytes = splitter.buffer_bytes_after(data.len());
-                    let more_bytes = needed_bytes.saturating_sub(held.bytes());
-                    let part = hold_when_free(&context.memory, more_bytes, until, clock).await;
-                    held.merge(part.ok_or(EndpointError::Timeout)?);
+                    if !grow_when_free(&mut held, needed_bytes, until, clock).await {
+                        return Err(EndpointError::Timeout);
+                    }
                     match splitter.push(&data) {
                         Some(events) => (events, false),
                         None if splitter.is_overlong() || splitter.is_out_of_order() => {
--- a/src/forward/request_body.rs
+++ b/src/forward/request_body.rs
@@ -45,7 +45,7 @@
     memory: &RequestMemory,
 ) -> Result<Bytes, Refusal> {
     let mut bytes = Vec::new();
-    let mut held = memory.hold(0).ok_or_else(overloaded)?;
+    let mut held = memory.begin_part();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::Malformed { reason: "the body is broken off" })?;
         let Some(data) = frame.data_ref() else { continue };
--- a/src/forward/rest_relay.rs
+++ b/src/forward/rest_relay.rs
@@ -11,11 +11,11 @@
 use crate::forward::connection::Connection;
 use crate::forward::endpoint_body::MAX_RESPONSE_BYTES;
 use crate::forward::request_context::LoadGuard;
-use crate::forward::response_memory::hold_when_free;
+use crate::forward::response_memory::grow_when_free;
 use crate::forward::{Codec, EndpointClient};
 use crate::http::{BrokenStream, RequestMemory};
 
-type Blocks = Sender<Result<Bytes, BrokenStream>>;
+type BlockSender = Sender<Result<Bytes, BrokenStream>>;
 
 /// Passes the rest of a response to its caller as it arrives, for which there was no memory as a
 /// whole. The endpoint is read no faster than the caller reads.
@@ -48,7 +48,7 @@
         receiver
     }
 
-    async fn relay(&mut self, data: Bytes, blocks: &Blocks) -> Result<(), BrokenStream> {
+    async fn relay(&mut self, data: Bytes, blocks: &BlockSender) -> Result<(), BrokenStream> {
         self.send(data, blocks).await?;
         loop {
             let limit = self.deadline.remaining(self.clock.now());
@@ -73,12 +73,15 @@
         }
     }
 
-    async fn send(&self, data: Bytes, blocks: &Blocks) -> Result<(), BrokenStream> {
-        let held = hold_when_free(&self.memory, data.len(), self.deadline, &self.clock);
-        let held = tokio::select! {
-            held = held => held.ok_or(BrokenStream)?,
+    async fn send(&self, data: Bytes, blocks: &BlockSender) -> Result<(), BrokenStream> {
+        let mut held = self.memory.begin_part();
+        let has_room = tokio::select! {
+            has_room = grow_when_free(&mut held, data.len(), self.deadline, &self.clock) => has_room,
             () = blocks.closed() => return Err(BrokenStream),
         };
+        if !has_room {
+            return Err(BrokenStream);
+        }
         let block = held.into_bytes(data.to_vec());
         drop(data);
         let limit = self.deadline.remaining(self.clock.now());
--- a/src/forward/stream_relay.rs
+++ b/src/forward/stream_relay.rs
@@ -11,7 +11,7 @@
 use crate::clock::{Clock, Instant};
 use crate::forward::decode::{OpenStream, Opened};
 use crate::forward::request_context::RequestContext;
-use crate::forward::response_memory::hold_when_free;
+use crate::forward::response_memory::grow_when_free;
 use crate::forward::{Codec, EndpointError, EventSplitter, Forwarder};
 use crate::http::{BrokenStream, HeldMemory};
 
@@ -194,13 +194,14 @@
                 let data = frame.into_data().unwrap_or_default();
                 let deadline = context.deadline;
                 let needed_bytes = stream.splitter.buffer_bytes_after(data.len());
-                let more_bytes = needed_bytes.saturating_sub(stream.held.bytes());
-                let more = tokio::select! {
-                    more = hold_when_free(&context.memory, more_bytes, deadline, clock) => more,
+                let held = &mut stream.held;
+                let has_room = tokio::select! {
+                    has_room = grow_when_free(held, needed_bytes, deadline, clock) => has_room,
                     () = events.closed() => return RelayEnd::CallerGone,
                 };
-                let Some(more) = more else { return RelayEnd::DeadlinePassed };
-                stream.held.merge(more);
+                if !has_room {
+                    return RelayEnd::DeadlinePassed;
+                }
                 let complete_events = stream.splitter.push(&data);
                 drop(data);
                 let Some(complete_events) = complete_events else {
--- a/src/http/request_memory.rs
+++ b/src/http/request_memory.rs
@@ -36,7 +36,7 @@
 }
 
 /// A part of a request's memory, returned on drop.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct HeldMemory {
     memory: RequestMemory,
     bytes: usize,
@@ -95,10 +95,15 @@
         true
     }
 
+    /// Begins a part that holds nothing yet.
+    pub fn begin_part(&self) -> HeldMemory {
+        HeldMemory { memory: self.clone(), bytes: 0 }
+    }
+
     /// Holds `bytes` more if there is room; sheds no other requests.
     pub fn hold(&self, bytes: usize) -> Option<HeldMemory> {
-        let mut held = HeldMemory { memory: self.clone(), bytes: 0 };
-        held.raise_to(bytes, MemoryCharge::try_grow_to).then_some(held)
+        let mut part = self.begin_part();
+        part.try_grow_to(bytes).then_some(part)
     }
 
     /// Holds a copy of `bytes` if there is room. The copy frees the buffer that they are part of.
@@ -152,6 +157,11 @@
         self.raise_to(bytes, MemoryCharge::grow_to)
     }
 
+    /// Does the same without shedding others.
+    pub fn try_grow_to(&mut self, bytes: usize) -> bool {
+        self.raise_to(bytes, MemoryCharge::try_grow_to)
+    }
+
     fn raise_to(&mut self, bytes: usize, grow: impl Fn(&MemoryCharge, usize) -> bool) -> bool {
         let more_bytes = bytes.saturating_sub(self.bytes);
         if let Some(request) = &self.memory.0 {
@@ -167,18 +177,6 @@
         true
     }
 
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-
-    /// Takes `other` in, which is a part of the same request's memory.
-    pub fn merge(&mut self, mut other: HeldMemory) {
-        if self.memory.0.is_none() {
-            self.memory = other.memory.clone();
-        }
-        self.bytes += std::mem::take(&mut other.bytes);
-    }
-
     /// Splits off a part of `bytes`.
     pub fn split(&mut self, bytes: usize) -> HeldMemory {
         let bytes = bytes.min(self.bytes);
