Give every memory charge an id

A charge without room had no id, so that each method asked for it, and a request of such a connection got a made-up one. Every charge now has an id and says whether it was opened, which only its drop needs. The methods of the account's state stand in one block.

--- a/src/forward/endpoint_body.rs
+++ b/src/forward/endpoint_body.rs
@@ -4,8 +4,7 @@
 
 use crate::forward::EndpointError;
 
-/// Largest response. A faulty endpoint may send bytes until its connection is
-/// closed.
+/// Largest response. A faulty endpoint may send bytes until its connection is closed.
 pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Reads the whole body of an endpoint's response.
--- a/src/http/memory_account.rs
+++ b/src/http/memory_account.rs
@@ -54,9 +54,10 @@
 #[derive(Debug)]
 pub struct MemoryCharge {
     account: MemoryAccount,
-    /// `None` if there was no room for it.
-    id: Option<u64>,
+    id: u64,
     kind: ChargeKind,
+    /// Whether there was room for the charge; otherwise it cannot grow.
+    was_opened: bool,
     shed: Arc<Notify>,
 }
 
@@ -91,7 +92,7 @@
         }
         let (id, shed) = state.insert(kind, bytes);
         drop(state);
-        Some(MemoryCharge { account: self.clone(), id: Some(id), kind, shed })
+        Some(MemoryCharge { account: self.clone(), id, kind, was_opened: true, shed })
     }
 
     pub fn used_bytes(&self) -> usize {
@@ -110,8 +111,7 @@
 
 impl AccountState {
     fn insert(&mut self, kind: ChargeKind, bytes: usize) -> (u64, Arc<Notify>) {
-        let id = self.next_id;
-        self.next_id += 1;
+        let id = self.next_id();
         self.activity += 1;
         self.used_bytes += bytes;
         self.connections += usize::from(kind.is_connection());
@@ -128,6 +128,19 @@
         (id, shed)
     }
 
+    fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    /// Records an activity of a charge and returns its bytes; `None` if it was shed.
+    fn record_activity(&mut self, id: u64) -> Option<usize> {
+        self.activity += 1;
+        let charge = self.charges.get_mut(&id)?;
+        charge.last_activity = self.activity;
+        Some(charge.bytes)
+    }
+
     fn remove(&mut self, id: u64) -> Option<ChargeState> {
         let charge = self.charges.remove(&id)?;
         self.used_bytes -= charge.bytes;
@@ -238,20 +251,16 @@
     /// Opens the charge of a request on this connection. If there is no room, it is a charge that
     /// cannot grow.
     pub fn open_request(&self, bytes: usize) -> MemoryCharge {
-        let connection = self.id.unwrap_or(u64::MAX);
-        let kind = ChargeKind::Request { connection };
+        let kind = ChargeKind::Request { connection: self.id };
         let mut state = self.account.lock();
-        let mut is_open = false;
-        if let Some(connection) = state.charges.get_mut(&connection) {
-            connection.add_requests(1);
-            is_open = true;
-        }
+        let connection = state.charges.get_mut(&self.id);
+        let is_connected = connection.map(|connection| connection.add_requests(1)).is_some();
         let asker = Asker { id: None, kind, bytes };
-        let has_room = is_open && state.make_room(&self.account.limits, &asker);
-        let inserted = has_room.then(|| state.insert(kind, bytes));
+        let was_opened = is_connected && state.make_room(&self.account.limits, &asker);
+        let (id, shed) =
+            if was_opened { state.insert(kind, bytes) } else { (state.next_id(), Arc::default()) };
         drop(state);
-        let (id, shed) = inserted.unzip();
-        MemoryCharge { account: self.account.clone(), id, kind, shed: shed.unwrap_or_default() }
+        MemoryCharge { account: self.account.clone(), id, kind, was_opened, shed }
     }
 
     /// Raises the charge to `bytes` if it is lower, and sheds others for it. Returns whether there
@@ -267,13 +276,12 @@
 
     fn grow(&self, bytes: usize, may_shed: bool) -> bool {
         let mut state = self.account.lock();
-        let Some(id) = self.id else { return false };
-        let Some(own_bytes) = state.record_activity(id) else { return false };
+        let Some(own_bytes) = state.record_activity(self.id) else { return false };
         if bytes <= own_bytes {
             return true;
         }
         let limits = &self.account.limits;
-        let asker = Asker { id: self.id, kind: self.kind, bytes };
+        let asker = Asker { id: Some(self.id), kind: self.kind, bytes };
         let has_room = if may_shed {
             state.make_room(limits, &asker)
         } else {
@@ -283,7 +291,7 @@
             return false;
         }
         state.used_bytes += bytes - own_bytes;
-        if let Some(charge) = state.charges.get_mut(&id) {
+        if let Some(charge) = state.charges.get_mut(&self.id) {
             charge.bytes = bytes;
         }
         true
@@ -292,7 +300,7 @@
     /// Lowers the charge to `bytes` if it is higher.
     pub fn shrink_to(&self, bytes: usize) {
         let mut state = self.account.lock();
-        if let Some(charge) = self.id.and_then(|id| state.charges.get_mut(&id)) {
+        if let Some(charge) = state.charges.get_mut(&self.id) {
             let freed = charge.bytes.saturating_sub(bytes);
             charge.bytes -= freed;
             state.used_bytes -= freed;
@@ -310,10 +318,9 @@
     }
 
     fn update(&self, change: impl FnOnce(&mut ChargeState)) {
-        let Some(id) = self.id else { return };
         let mut state = self.account.lock();
-        state.record_activity(id);
-        if let Some(charge) = state.charges.get_mut(&id) {
+        state.record_activity(self.id);
+        if let Some(charge) = state.charges.get_mut(&self.id) {
             change(charge);
         }
     }
@@ -324,16 +331,6 @@
     }
 }
 
-impl AccountState {
-    /// Records an activity of a charge and returns its bytes; `None` if it was shed.
-    fn record_activity(&mut self, id: u64) -> Option<usize> {
-        self.activity += 1;
-        let charge = self.charges.get_mut(&id)?;
-        charge.last_activity = self.activity;
-        Some(charge.bytes)
-    }
-}
-
 impl ChargeState {
     /// Whether the owner waits for its client. Requests that may be running at an endpoint for a
     /// client that accepts the response are not shed.
@@ -354,9 +351,7 @@
 impl Drop for MemoryCharge {
     fn drop(&mut self) {
         let mut state = self.account.lock();
-        if let Some(id) = self.id
-            && state.remove(id).is_none()
-        {
+        if state.remove(self.id).is_none() && self.was_opened {
             state.shed_charges -= 1;
         }
         if let ChargeKind::Request { connection } = self.kind {
